Bound attempts at a cache by its part of the told link, not by 12

The printed configuration tells a link of 307 transfers for 3 caches; limit() in brain/brain.go allowed 12 attempts a cache for all directors whatever the link. Ruled out: CPU (0.4 of a core), full caches (3 in 5 s), connects.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,6 +48,8 @@
 	learnGain    = 0.4                    // how far one answer moves the bound of the link
 	needs        = 2.0                    // a waiting request is given up with less than this x its time left
 	cacheShare   = 2.5                    // attempts at a cache over the transfers that its link fits
+	cacheOver    = 6.0                    // the same over its part of the location's link, its own untold
+	wideUnder    = 6.0                    // with fewer caches a link is wider by the root of this over them
 	linkShare    = 2.0                    // transfers on the location's link over those that fit it
 	turnedAway   = 3 * time.Millisecond   // a refusal later than this came from a source, not from the cache
 	firstMisses  = 0.3                    // share of misses supposed of a cache before any answer
@@ -287,25 +289,36 @@
 // until all are late and every place for a fill is taken. Over the limit hits are still served.
 // What is told of the link sets it; where nothing is told, it may be learned to be higher.
 func (b *Brain) linkLimit() (first, most, room float64) {
-	i := slices.Index(b.s.Zones, b.s.Zone)
 	limit, over, room := startLimit, linkMost, guessedRoom
-	if i < len(b.s.LinkKBps) && b.s.LinkKBps[i] > 0 && b.s.PaceKBps > 0 {
-		limit, over, room = linkShare*b.s.LinkKBps[i]/b.s.PaceKBps, 1, toldRoom
+	if fits := b.linkFits(); fits > 0 {
+		limit, over, room = linkShare*fits, 1, toldRoom
 	}
 	return max(leastLimit, limit/b.beside()), max(leastLimit, over*limit/b.beside()), room
 }
 
 // limit bounds our attempts outstanding at a cache: our part of what its link carries in time for all
-// directors of the location, by its size where that is told. A part of less than leastLimit would be used up
-// by chance while the cache is free, and push requests to caches that lack their objects.
+// directors of the location, by its size where that is told, else by its part of the location's link, which
+// is built for the misses of them all. A part of less than leastLimit would be used up by chance while the
+// cache is free, and push requests to caches that lack their objects.
 func (b *Brain) limit(m *member) float64 {
-	all := startLimit
+	all, n := startLimit, max(b.fleet[cache], 1)
 	if b.s.SteadyWeights && m.weight > 0 && b.s.PaceKBps > 0 {
 		all = cacheShare * m.weight
+	} else if fits := b.linkFits(); fits > 0 && !b.s.SteadyWeights {
+		all = cacheOver * fits / n / math.Sqrt(max(wideUnder/n, 1))
 	}
 	return max(leastLimit, all/b.beside())
 }
 
+// linkFits is how many transfers the location's link carries at full pace; 0 where that is not told.
+func (b *Brain) linkFits() float64 {
+	i := slices.Index(b.s.Zones, b.s.Zone)
+	if i < 0 || i >= len(b.s.LinkKBps) || b.s.LinkKBps[i] <= 0 || b.s.PaceKBps <= 0 {
+		return 0
+	}
+	return b.s.LinkKBps[i] / b.s.PaceKBps
+}
+
 // beside is how many directors share the location's caches and link.
 func (b *Brain) beside() float64 {
 	if i := slices.Index(b.s.Zones, b.s.Zone); i < len(b.s.DirectorsIn) && b.s.DirectorsIn[i] > 1 {
@@ -860,7 +873,6 @@
 			b.members[e.Node] = m
 		}
 		m.role, m.zone, m.cell, m.weight, m.state = b.roleOf(e), e.Zone, e.Cell, e.Weight, e.State
-		m.limit = b.limit(m)
 		if m.role != cache {
 			m.misses = 1 // what passes the caches by is all fill
 		}
@@ -903,6 +915,9 @@
 	for ro := range fleet {
 		b.fleet[ro] = max(b.fleet[ro], fleet[ro])
 	}
+	for _, m := range b.caches {
+		m.limit = b.limit(m)
+	}
 }
 
 func (b *Brain) roleOf(e Entry) role {
