--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -27,6 +27,7 @@
 	clock func() time.Duration
 	pools map[*core.Member]*pool
 	at    map[*core.Attempt]*conn // attempts that were written
+	conns int                     // connections that are up or being dialed
 }
 
 // New returns a client.
@@ -63,12 +64,17 @@
 	}
 	cl.reap(p)
 	c := p.pick(a)
-	if c == nil || len(c.open) > 0 && len(p.conns)+p.dialing < cl.lim.ConnsPerCache {
+	room := len(p.conns)+p.dialing < cl.lim.ConnsPerCache && cl.conns < cl.lim.CacheConns
+	switch {
+	case c == nil && !room:
+		cl.core.End(a, core.End{Status: brain.ConnectFailed})
+		return
+	case room && (c == nil || len(c.open) > 0):
 		p.waiting = append(p.waiting, a)
 		cl.dial(p)
-		return
+	default:
+		cl.write(c, a)
 	}
-	cl.write(c, a)
 }
 
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
@@ -92,6 +98,7 @@
 
 func (cl *Client) dial(p *pool) {
 	p.dialing++
+	cl.conns++
 	go func() {
 		var c *conn
 		nc, err := netio.Dial(p.addr, cl.lim.Connect, cl.lim.Upstream, func(nc *netio.Conn) netio.Handler {
@@ -101,6 +108,7 @@
 		cl.core.Post(func() {
 			p.dialing--
 			if err != nil {
+				cl.conns--
 				slog.Debug("page cache not reached", "addr", p.addr, "err", err)
 				if a := p.next(); a != nil {
 					cl.core.End(a, core.End{Status: brain.ConnectFailed})
@@ -108,6 +116,7 @@
 				return
 			}
 			if p.dead {
+				cl.conns--
 				nc.Close()
 				return
 			}
@@ -198,6 +207,7 @@
 	c.nc.Close()
 	if i := slices.Index(c.p.conns, c); i >= 0 {
 		c.p.conns = slices.Delete(c.p.conns, i, i+1)
+		c.cl.conns--
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,11 +84,10 @@
 		Message:     64 << 10,
 		Margin:      15 * ms,
 
-		ConnsPerCache: 16,
-		AnswerLine:    1 << 10,
-		Object:        256 << 10,
-		Connect:       allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
-		UpstreamIdle:  allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
+		AnswerLine:   1 << 10,
+		Object:       256 << 10,
+		Connect:      allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
+		UpstreamIdle: allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
 
 		JournalLine:  1 << 20,
 		JournalQuiet: 2 * time.Second,
@@ -101,7 +100,7 @@
 		Upstream: Conn{Pending: 1 << 20, Read: 10 * time.Second, Write: 50 * ms},
 		Journal:  Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
 	}
-	l.ClientConns = l.Sockets / 3
+	l.ClientConns, l.ConnsPerCache, l.CacheConns = l.Sockets/3, l.Sockets/8, l.Sockets*9/16
 	// An open request may hold an object twice: as it comes in and as it goes out. A third of the memory is
 	// left to all else.
 	l.PendingBytes = l.MemoryMB << 20 / 4
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -15,6 +15,7 @@
 	PendingBytes  int // bytes of answers that wait for slow clients, all together
 	Margin        time.Duration
 	ConnsPerCache int // connections to one page cache
+	CacheConns    int // connections to all of them
 	AnswerLine    int // bytes of the line that starts a page cache's answer
 	Object        int // bytes of an object
 	Connect       time.Duration
