--- a/brain/api.go
+++ b/brain/api.go
@@ -145,6 +145,16 @@
 		Group   uint64
 		Ago     time.Duration
 	}
+	// Resolve asks for members that a resolver may name to its clients; one Answer, Refuse or Fail is owed at
+	// once. What the resolver's clients send is not seen here, so it is counted as told.
+	Resolve struct {
+		ID   RequestID
+		Key  uint64        // of the resolver's clients: alike ones get alike answers
+		Want int           // members, at most
+		Only NodeID        // only this one; 0: any
+		Load float64       // seconds of sending that one resolver's clients ask for each second
+		Hold time.Duration // how long it may keep the answer
+	}
 	// Timer is due.
 	Timer struct{ Token uint64 }
 )
@@ -156,6 +166,7 @@
 func (ClientGone) event() {}
 func (Purge) event()      {}
 func (Timer) event()      {}
+func (Resolve) event()    {}
 
 // Status is how an attempt ended.
 type Status uint8
@@ -218,6 +229,11 @@
 		ID   RequestID
 		Wait time.Duration // how long the client should stay away; 0: not told
 	}
+	// Answer names members to a resolver, the best first.
+	Answer struct {
+		ID    RequestID
+		Nodes []NodeID
+	}
 	// Fail answers finally, promising nothing.
 	Fail struct{ ID RequestID }
 	// Cancel stops waiting for one attempt.
@@ -236,6 +252,7 @@
 
 func (Get) action()      {}
 func (Refuse) action()   {}
+func (Answer) action()   {}
 func (Fail) action()     {}
 func (Cancel) action()   {}
 func (Watch) action()    {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -56,6 +56,7 @@
 	recent       = 48.0                   // means of sizes and misses reach back about this many requests
 	coldGuess    = 0.5                    // of what is asked for, taken for usual load by a new instance
 	purgeMargin  = time.Second            // a purge bars copies for this longer than the settings say
+	leastLease   = 1e-3                   // load of a resolver, at least
 	seedWork     = 200 * time.Millisecond // sending time of a class before any was seen
 )
 
@@ -97,6 +98,8 @@
 		if ev.Token == scanToken {
 			b.scan()
 		}
+	case Resolve:
+		b.resolve(ev)
 	case Members:
 		b.list(ev)
 	}
@@ -785,22 +788,28 @@
 	l.at = b.now
 }
 
+// cold tells whether the fail-back rule bounds what a member is sent.
+func (b *Brain) cold(m *member) bool {
+	c := b.rule(m)
+	return m.start > 0 && m.role != origin && b.now-m.start < c.Warm && c.Window > 0
+}
+
 // withinBudget keeps the fail-back rule alone. Each router takes the usual load that it sends to a warm
 // member for its part of what that one can do, and may send a cold one the rule's multiple of that part, as
 // far as it has warmed. What is not used is saved up from the moment of being told of the start, for part of
 // a window, or for one request: where many routers see little each, all their firsts must not come at once.
 func (b *Brain) withinBudget(m *member, r *request) bool {
-	c := b.rule(m)
-	if m.start == 0 || m.role == origin || b.now-m.start >= c.Warm || c.Window <= 0 {
+	if !b.cold(m) {
 		return true
 	}
-	usual := b.load[m.role].peak
+	c, usual := b.rule(m), b.load[m.role].peak
 	if b.now-b.born < usualOver { // nothing seen yet: part of what is asked for
 		usual = max(usual, coldGuess*b.load[other].peak)
 	}
-	w := b.size(m)
-	share := c.Share + (1-c.Share)*float64(b.now-m.start)/float64(c.Warm)
-	rate := budgetSlack * c.Multiple * share * usual * w / max(b.fleet[m.role], w)
+	if r.lease > 0 {
+		return r.lease <= b.coldRate(m, usual)
+	}
+	rate := b.coldRate(m, usual)
 	most := rate * c.Window.Seconds() * savedMost
 	for _, k := range b.classes {
 		most = max(most, k.work)
@@ -810,6 +819,54 @@
 	return m.saved >= r.class.work
 }
 
+// coldRate is the work that a cold member may be sent each second, less what resolvers hold of it.
+func (b *Brain) coldRate(m *member, usual float64) float64 {
+	c, w := b.rule(m), b.size(m)
+	share := c.Share + (1-c.Share)*float64(b.now-m.start)/float64(c.Warm)
+	rate := budgetSlack * c.Multiple * share * usual * w / max(b.fleet[m.role], w)
+	m.leases = slices.DeleteFunc(m.leases, func(l lease) bool { return b.now >= l.until })
+	for _, l := range m.leases {
+		rate -= l.load
+	}
+	return max(rate, 0)
+}
+
+// resolve names members to a resolver by the same hash and under the same bounds as requests: those that
+// drain are left out, a started one enters by its rising share and within its budget. A resolver keeps its
+// answer, so its load counts for all that time.
+func (b *Brain) resolve(ev Resolve) {
+	r := &request{Request: Request{Object: ev.Key}, class: newClass(Class{}), lease: max(ev.Load, leastLease)}
+	var from []*member
+	for _, m := range b.caches {
+		if b.ready(m) && !m.bad && (ev.Only == 0 || m.id == ev.Only) {
+			from = append(from, m)
+		}
+	}
+	some, key := len(from) > 0, mix(ev.Key)
+	var nodes []NodeID
+	for len(nodes) < max(ev.Want, 1) {
+		m := b.pick(r, key, from, saltCache, nil)
+		if m == nil || len(nodes) > 0 && !b.owns(key, m) {
+			break // a further name is worth less than the share of a started member
+		}
+		nodes = append(nodes, m.id)
+		from = slices.DeleteFunc(from, func(o *member) bool { return o == m })
+		if b.cold(m) {
+			m.leases = append(m.leases, lease{r.lease, b.now + ev.Hold})
+		} else {
+			b.usual(cache, r.lease*ev.Hold.Seconds())
+		}
+	}
+	switch {
+	case len(nodes) > 0:
+		b.do(Answer{ID: ev.ID, Nodes: nodes})
+	case some:
+		b.do(Refuse{ID: ev.ID, Wait: b.s.MaxWait})
+	default:
+		b.do(Fail{ID: ev.ID})
+	}
+}
+
 // size is what counts of a member in its fleet.
 func (b *Brain) size(m *member) float64 {
 	if b.s.SteadyWeights && m.weight > 0 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -70,10 +70,17 @@
 	doubt   float64       // 1 less the trust
 	doubted time.Duration
 	limit   float64 // own attempts outstanding that it answers in time (caches)
+	leases  []lease // of resolvers that were told of it while it was cold
 	saved   float64 // work that a cold member may be sent by now
 	savedAt time.Duration
 }
 
+// lease is the load of one resolver's clients, as long as it may keep the answer.
+type lease struct {
+	load  float64
+	until time.Duration
+}
+
 type load struct {
 	rate float64 // seconds of sending asked for each second
 	at   time.Duration
@@ -105,9 +112,10 @@
 	attempts []attempt
 	done     bool
 	streamed bool
-	lacked   int  // sources that gave only what they hold, and had none
-	missed   bool // the edge cache was looked into and holds nothing
-	waiting  bool // for room at a cache
+	lacked   int     // sources that gave only what they hold, and had none
+	missed   bool    // the edge cache was looked into and holds nothing
+	waiting  bool    // for room at a cache
+	lease    float64 // of a resolver: the load that its clients bring
 }
 
 type attempt struct {
--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -15,9 +15,11 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"hillknot/internal/agentcheck"
 	"hillknot/internal/cachewire"
 	"hillknot/internal/config"
 	"hillknot/internal/core"
+	"hillknot/internal/dnsfront"
 	"hillknot/internal/journal"
 	"hillknot/internal/msgrpc"
 	"hillknot/internal/netio"
@@ -63,11 +65,35 @@
 	if err != nil {
 		return err
 	}
-	stop, failed := make(chan struct{}), make(chan error, 1)
+	fronts := []server{front}
+	if cfg.DNS.Listen != "" {
+		f, err := dnsfront.Listen(c, cfg.DNS, cfg.Limits, budget)
+		if err != nil {
+			return fmt.Errorf("dns: %w", err)
+		}
+		fronts = append(fronts, f)
+	}
+	for _, check := range []struct {
+		addr   string
+		listen func(string, agentcheck.Core, config.Limits) (*agentcheck.Front, error)
+	}{{cfg.Agent, agentcheck.ListenAgent}, {cfg.Health, agentcheck.ListenHTTP}} {
+		if check.addr == "" {
+			continue
+		}
+		f, err := check.listen(check.addr, c, cfg.Limits)
+		if err != nil {
+			return fmt.Errorf("health checks: %w", err)
+		}
+		fronts = append(fronts, f)
+	}
+	stop, failed := make(chan struct{}), make(chan error, len(fronts))
 	defer close(stop)
 	go c.Run(stop)
 	go feed.Run(stop)
-	go func() { failed <- front.Serve() }()
+	for _, f := range fronts {
+		defer f.Close()
+		go func() { failed <- f.Serve() }()
+	}
 	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
 	select {
 	case err := <-failed:
@@ -75,10 +101,15 @@
 	case <-term:
 	}
 	finish(c, cfg.Limits)
-	front.Close()
 	return nil
 }
 
+// server is a front with its sockets open.
+type server interface {
+	Serve() error
+	Close()
+}
+
 // finish goes on serving for the linger time, in which requests still arrive, and then until all that was
 // taken is answered.
 func finish(c *core.Core, lim config.Limits) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -23,6 +24,20 @@
 	Known    fields.Object // the journal's events of the start
 	Settings brain.Settings
 	Limits   Limits
+	DNS      DNS
+	Agent    string // where HAProxy's agent checks are answered; empty: nowhere
+	Health   string // where HTTP health checks are answered; empty: nowhere
+}
+
+// DNS sets up the DNS front.
+type DNS struct {
+	Listen   string // empty: the front is off
+	Names    []string
+	TTL      time.Duration
+	Overstay float64       // resolvers keep an answer for up to this multiple of the TTL
+	Load     float64       // seconds of sending that the clients of one resolver ask for each second
+	Answers  int           // members named in one answer, at most
+	Deadline time.Duration // by then a query is answered
 }
 
 // Load reads the configuration from a file.
@@ -50,6 +65,10 @@
 		Name: o.Text("name", "hillknot"), Listen: address(o, "listen"), Journal: address(o, "journal"),
 		Known: o.Object("known"), Settings: settings.Read(o.Object("settings")),
 		Limits: limits(o),
+		DNS:    readDNS(o), Agent: address(o.Object("agent_check"), "listen"), Health: address(o.Object("health"), "listen"),
+	}
+	for _, k := range c.Settings.Classes {
+		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
 	if err := o.Err(); err != nil {
 		return nil, err
@@ -72,6 +91,59 @@
 	return s
 }
 
+// readDNS reads the set-up of the DNS front, which is off where there is none.
+func readDNS(o fields.Object) DNS {
+	if !o.Has("dns") {
+		return DNS{}
+	}
+	d := o.Object("dns")
+	d.Must("listen", "names")
+	c := DNS{
+		Listen: address(d, "listen"), TTL: d.Span("ttl_s", time.Second, 5*time.Second), Overstay: d.Number("overstay", 2),
+		Load: d.Number("resolver_load", 0.05), Answers: d.Count("answers", 2, 1),
+		Deadline: d.Span("deadline_ms", time.Millisecond, time.Second),
+	}
+	if c.TTL < time.Second || c.TTL > time.Hour {
+		d.Fail("ttl_s", "is out of range (1 to 3600)")
+	}
+	if c.Overstay < 1 {
+		d.Fail("overstay", "is under 1")
+	}
+	if c.Load <= 0 {
+		d.Fail("resolver_load", "is not above 0")
+	}
+	if c.Deadline <= 0 {
+		d.Fail("deadline_ms", "is not above 0")
+	}
+	if c.Answers > 16 {
+		d.Fail("answers", "is over 16")
+	}
+	for _, n := range d.Texts("names") {
+		n = strings.ToLower(strings.TrimSuffix(n, "."))
+		if !hostName(n) {
+			d.Fail("names", fmt.Sprintf("holds %q, which is no host name", n))
+		}
+		c.Names = append(c.Names, n)
+	}
+	if len(c.Names) == 0 {
+		d.Fail("names", "is empty")
+	}
+	return c
+}
+
+// hostName tells whether a name can be asked for, with a label for a member before it.
+func hostName(n string) bool {
+	if len(n) > 180 {
+		return false
+	}
+	for l := range strings.SplitSeq(n, ".") {
+		if l == "" || len(l) > 63 || strings.Trim(l, "abcdefghijklmnopqrstuvwxyz0123456789-_") != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // limits fills the limits from what the machine is given, the settings and the defaults.
 func limits(o fields.Object) Limits {
 	given, allowed := o.Object("limits"), o.Object("settings").Object("allowed")
@@ -93,11 +165,15 @@
 		JournalQuiet: 2 * time.Second,
 		JournalRetry: 50 * ms,
 
+		Resolves: 1024, DNSConns: 64, CheckConns: 16,
+
 		Linger: 700 * ms,
 		Finish: 5500 * ms,
 
-		Client:   Conn{Pending: 8 << 20, Read: 5 * time.Second, Write: 5 * time.Second},
+		Client:   Conn{Pending: 8 << 20, Read: 5 * time.Second, Write: 5 * time.Second, Idle: 30 * time.Second},
 		Upstream: Conn{Pending: 1 << 20, Read: 10 * time.Second, Write: 50 * ms},
+		DNS:      Conn{Pending: 1 << 18, Read: time.Second, Write: time.Second, Idle: 10 * time.Second},
+		Check:    Conn{Pending: 1 << 16, Read: time.Second, Write: time.Second, Idle: 5 * time.Second},
 		Journal:  Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
 	}
 	l.ClientConns, l.ConnsPerCache, l.CacheConns = l.Sockets/3, l.Sockets/8, l.Sockets*9/16
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -8,11 +8,12 @@
 	MemoryMB int // of the process
 	Sockets  int // descriptors of the process
 
-	ClientConns   int // clients' connections
-	OpenPerConn   int // open requests on one of them
-	Open          int // open requests in all
-	Message       int // bytes of a client's message
-	HeldBytes     int // bytes of messages that are not whole yet or wait for a slow peer, all together
+	ClientConns   int           // clients' connections
+	OpenPerConn   int           // open requests on one of them
+	Open          int           // open requests in all
+	Message       int           // bytes of a client's message
+	Longest       time.Duration // a client's wait, at most
+	HeldBytes     int           // bytes of messages that are not whole yet or wait for a slow peer, all together
 	Margin        time.Duration
 	ConnsPerCache int // connections to one page cache
 	CacheConns    int // connections to all of them
@@ -23,10 +24,13 @@
 	JournalLine   int           // bytes of a line of the journal
 	JournalQuiet  time.Duration // a journal that says nothing for so long is dead
 	JournalRetry  time.Duration // between two calls
+	Resolves      int           // DNS queries open at a time
+	DNSConns      int           // connections of resolvers over TCP
+	CheckConns    int           // connections of health checks
 	Linger        time.Duration // how long a router that is to end still takes requests
 	Finish        time.Duration // and how long it has in all to answer what is open
 
-	Client, Upstream, Journal Conn
+	Client, Upstream, Journal, DNS, Check Conn
 }
 
 // Conn bounds the reads and writes of one connection.
@@ -34,4 +38,5 @@
 	Pending int           // bytes that may wait to be written
 	Read    time.Duration // how long the rest of a message may take
 	Write   time.Duration // how long a write may block
+	Idle    time.Duration // of one that was accepted: closed when nothing has moved for so long
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,6 +115,7 @@
 	events   []brain.Event
 	open     map[brain.RequestID]*request
 	members  map[brain.NodeID]*Member
+	queries  map[brain.RequestID]*query
 	timers   timers
 	listed   bool
 	stopping bool
@@ -127,7 +128,8 @@
 		return nil, err
 	}
 	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{},
-		open: map[brain.RequestID]*request{}, members: map[brain.NodeID]*Member{}}
+		open: map[brain.RequestID]*request{}, members: map[brain.NodeID]*Member{},
+		queries: map[brain.RequestID]*query{}}
 	for _, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
 	}
@@ -211,9 +213,13 @@
 			c.End(at, End{Status: brain.Cancelled})
 		}
 	case brain.Refuse:
+		c.resolved(a.ID, Resolved{Refused: true})
 		c.answer(c.open[a.ID], Answer{Verdict: Refused, Wait: a.Wait})
 	case brain.Fail:
+		c.resolved(a.ID, Resolved{})
 		c.answer(c.open[a.ID], Answer{Verdict: Failed, Reason: "Failed"})
+	case brain.Answer:
+		c.named(a)
 	case brain.SetTimer:
 		heap.Push(&c.timers, timer{at: c.now + a.In, token: a.Token})
 	}
@@ -230,8 +236,8 @@
 // Stop marks the router as on its way out; it goes on answering.
 func (c *Core) Stop() { c.stopping = true }
 
-// Open is how many requests are owed an answer.
-func (c *Core) Open() int { return len(c.open) }
+// Open is how many requests and queries are owed an answer.
+func (c *Core) Open() int { return len(c.open) + len(c.queries) }
 
 // Submit takes a request. Its answer is owed from now on.
 func (c *Core) Submit(id brain.RequestID, q Request) {
@@ -239,7 +245,7 @@
 		q.Reply(Answer{Verdict: Refused})
 		return
 	}
-	left := q.Limit - c.lim.Margin
+	left := min(q.Limit, c.lim.Longest) - c.lim.Margin
 	if left <= 0 {
 		q.Reply(Answer{Verdict: Refused})
 		return
@@ -356,10 +362,11 @@
 
 // ---- Timers ----
 
-// timer is due for one of: a token of the module, an attempt's time-out, a request's end.
+// timer is due for one of: a token of the module, an attempt's time-out, the end of a request or a query.
 type timer struct {
 	at      time.Duration
 	token   uint64
+	query   *query
 	attempt *Attempt
 	request *request
 }
@@ -380,6 +387,8 @@
 
 func (c *Core) due(t timer) {
 	switch r := t.request; {
+	case t.query != nil:
+		c.resolved(t.query.id, Resolved{})
 	case t.attempt != nil:
 		c.timeOut(t.attempt)
 	case r == nil:
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -55,6 +55,9 @@
 	Closed()
 }
 
+// Opener is a Handler that wants to know when a connection that was accepted is up.
+type Opener interface{ Opened() }
+
 // Conn is one connection.
 type Conn struct {
 	nc      netpoll.Connection
@@ -65,14 +68,18 @@
 	queue   [][]byte
 	pending int
 	writing bool
+	last    bool // closes once all is written
 	closed  bool
 	close   sync.Once
+	active  atomic.Int64 // Unix time in nanoseconds when bytes last came or went
 }
 
 func newConn(nc netpoll.Connection, lim config.Conn, budget *Budget) *Conn {
 	_ = nc.SetReadTimeout(lim.Read)   // netpoll's setters only store the value
 	_ = nc.SetWriteTimeout(lim.Write) // and return nil
-	return &Conn{nc: nc, lim: lim, budget: budget}
+	c := &Conn{nc: nc, lim: lim, budget: budget}
+	c.active.Store(time.Now().UnixNano())
+	return c
 }
 
 // Remote is the peer's address.
@@ -112,6 +119,7 @@
 			c.Close()
 			return nil
 		}
+		c.active.Store(time.Now().UnixNano())
 		used, more, err := c.h.Take(buf)
 		if err == nil {
 			err = r.Skip(used)
@@ -147,7 +155,7 @@
 func (c *Conn) Send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || c.last {
 		return ErrClosed
 	}
 	if c.pending > 0 && c.pending+len(b) > c.lim.Pending || !c.budget.take(len(b)) {
@@ -162,11 +170,18 @@
 	return nil
 }
 
-// Idle tells whether nothing waits to be written.
-func (c *Conn) Idle() bool {
+// Finish sends bytes and closes the connection once all is written.
+func (c *Conn) Finish(b []byte) {
+	if err := c.Send(b); err != nil {
+		return // closed, or about to be
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.writing
+	c.last = true
+	done := !c.writing
+	c.mu.Unlock()
+	if done {
+		c.Close()
+	}
 }
 
 func (c *Conn) write() {
@@ -179,7 +194,11 @@
 			if c.closed {
 				c.drop()
 			}
+			last := c.last
 			c.mu.Unlock()
+			if last {
+				c.Close()
+			}
 			return
 		}
 		c.mu.Unlock()
@@ -198,6 +217,7 @@
 }
 
 func (c *Conn) flush(bs ...[]byte) error {
+	c.active.Store(time.Now().UnixNano())
 	w := c.nc.Writer()
 	for _, b := range bs {
 		if _, err := w.WriteBinary(b); err != nil {
@@ -249,6 +269,7 @@
 	bud   *Budget
 	h     func(*Conn) Handler
 	conns sync.Map
+	done  chan struct{}
 }
 
 type connKey struct{}
@@ -259,8 +280,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{ln: ln, lim: lim, max: int64(max), bud: budget, h: h}
-	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare))
+	s := &Server{ln: ln, lim: lim, max: int64(max), bud: budget, h: h, done: make(chan struct{})}
+	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare), netpoll.WithOnConnect(s.opened))
 	if err != nil {
 		_ = ln.Close() // the first error is the one to report
 		return nil, fmt.Errorf("listen: %w", err)
@@ -272,10 +293,33 @@
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
 // Serve accepts until Close.
-func (s *Server) Serve() error { return s.loop.Serve(s.ln) }
+func (s *Server) Serve() error {
+	go s.sweep()
+	return s.loop.Serve(s.ln)
+}
 
-// Close stops accepting and closes what is open.
+// sweep closes connections on which nothing has moved for the idle time: a peer that vanished says nothing.
+func (s *Server) sweep() {
+	t := time.NewTicker(s.lim.Idle / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case now := <-t.C:
+			s.conns.Range(func(k, _ any) bool {
+				if c := k.(*Conn); now.UnixNano()-c.active.Load() > int64(s.lim.Idle) {
+					c.Close()
+				}
+				return true
+			})
+		}
+	}
+}
+
+// Close stops accepting and closes what is open. It is called once.
 func (s *Server) Close() {
+	close(s.done)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
 	_ = s.loop.Shutdown(ctx) // what it leaves open is closed below
@@ -299,6 +343,15 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
+func (s *Server) opened(ctx context.Context, _ netpoll.Connection) context.Context {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		if o, ok := c.h.(Opener); ok {
+			o.Opened()
+		}
+	}
+	return ctx
+}
+
 func (s *Server) request(ctx context.Context, nc netpoll.Connection) error {
 	c, ok := ctx.Value(connKey{}).(*Conn)
 	if !ok {
