--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -174,8 +174,7 @@
 	}
 	c.done(a)
 	c.quit = true
-	err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn))
-	if err != nil || len(c.open) == 0 {
+	if len(c.open) == 0 || c.nc.WriteNow(appendQuit(nil, a.Request.Txn)) != nil {
 		c.lost() // a close gives up all that is open there
 	}
 }
