--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# Build, test, lint and run hillknot.
+
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+lint:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-ed: $$unformatted" >&2; exit 1; fi
+	go vet ./...
+
+# The operators' build line is tested as it stands in the deploy file.
+test: lint
+	sh -c "$$(sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)"
+	go test -count=1 ./...
+
+run: build
+	@go build -o bin/toy ./example/toy
+	@bin/toy & trap "kill $$!" EXIT; bin/hillknot -config example/config.json
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -77,6 +77,10 @@
 	for _, ev := range evs {
 		b.take(ev)
 	}
+	if b.freed { // once for all that came in: each pass looks at every open request
+		b.freed = false
+		b.resume()
+	}
 	return b.out
 }
 
@@ -541,7 +545,7 @@
 	if ev.Settled {
 		b.close(r)
 	}
-	defer b.resume()
+	b.freed = true
 	if r.done {
 		return
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -32,6 +32,7 @@
 	cost     float64    // mean of the requests' cost
 	order    []*request // open requests in order of arrival, with closed ones until the next scan
 	ticking  bool
+	freed    bool                // room may have come up for those who wait
 	linkMost float64             // bound of linkRoom
 	linkPart float64             // part of the link's room that we use
 	linkRoom float64             // learned bound of link
--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -27,21 +27,22 @@
 
 func main() {
 	path := flag.String("config", os.Getenv("RELAY_CONFIG"), "the configuration `file`")
+	operator := flag.String("operator", os.Getenv("HILLKNOT_OPERATOR"), "a `file` with further keys, such as deploy/operator.json")
 	flag.Parse()
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	if err := run(*path, term); err != nil {
+	if err := run(*path, *operator, term); err != nil {
 		slog.Error("hillknot ends", "err", err)
 		os.Exit(1)
 	}
 }
 
 // run serves until a signal comes and all that was taken is answered.
-func run(path string, term <-chan os.Signal) error {
+func run(path, operator string, term <-chan os.Signal) error {
 	if path == "" {
 		return errors.New("no configuration: give -config or RELAY_CONFIG")
 	}
-	cfg, err := config.Load(path)
+	cfg, err := config.Load(path, operator)
 	if err != nil {
 		return err
 	}
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -52,7 +52,8 @@
 	p     *pool
 	nc    *netio.Conn
 	open  map[string]*core.Attempt
-	quit  bool // an attempt on it was given up: its answer may yet come, so nothing new is sent on it
+	past  map[string]bool // given up: an answer may yet cross, so the same is not asked for again on it
+	quit  bool            // takes nothing new
 	idled time.Duration
 }
 
@@ -81,7 +82,7 @@
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && c.open[a.Request.Txn] == nil && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && c.open[a.Request.Txn] == nil && !c.past[a.Request.Txn] && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -103,7 +104,7 @@
 	go func() {
 		var c *conn
 		nc, err := netio.Dial(p.addr, cl.lim.Connect, cl.lim.Upstream, cl.budget, func(nc *netio.Conn) netio.Handler {
-			c = &conn{cl: cl, p: p, nc: nc, open: map[string]*core.Attempt{}}
+			c = &conn{cl: cl, p: p, nc: nc, open: map[string]*core.Attempt{}, past: map[string]bool{}}
 			return c
 		})
 		cl.core.Post(func() {
@@ -161,7 +162,8 @@
 	}
 }
 
-// Quit gives an attempt up. The connection takes nothing new: an answer may cross, or be cut off half-way.
+// Quit gives an attempt up. Its connection is kept: a close would give up all else on it, and many at once
+// would have to be opened anew in the moment of a trouble.
 func (cl *Client) Quit(a *core.Attempt) {
 	c := cl.at[a]
 	if c == nil {
@@ -173,12 +175,18 @@
 		return
 	}
 	c.done(a)
-	c.quit = true
-	if len(c.open) == 0 || c.nc.WriteNow(appendQuit(nil, a.Request.Txn)) != nil {
-		c.lost() // a close gives up all that is open there
+	if len(c.past) >= maxPast {
+		clear(c.past) // their answers would have come long since
+	}
+	c.past[a.Request.Txn] = true
+	if err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn)); err != nil {
+		c.lost()
 	}
 }
 
+// maxPast bounds what a connection remembers of requests that were given up on it.
+const maxPast = 1 << 12
+
 // Forget drops the connections to a cache that has gone or is another now.
 func (cl *Client) Forget(m *core.Member) {
 	p := cl.pools[m]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,25 +40,43 @@
 	Deadline time.Duration // by then a query is answered
 }
 
-// Load reads the configuration from a file.
-func Load(path string) (*Config, error) {
+// Load reads the configuration from a file, and what an operator sets up besides from another, if that is
+// named: its keys stand in place of the same ones.
+func Load(path, operator string) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	c, err := Parse(text)
+	var more []byte
+	if operator != "" {
+		if more, err = os.ReadFile(operator); err != nil {
+			return nil, fmt.Errorf("read operator's file: %w", err)
+		}
+	}
+	c, err := Parse(text, more)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-// Parse reads the configuration from JSON text.
-func Parse(text []byte) (*Config, error) {
+// Parse reads the configuration from JSON text, with the keys of a second text, which may be empty, over it.
+func Parse(text, operator []byte) (*Config, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return nil, err
 	}
+	if len(operator) > 0 {
+		more, err := fastjson.ParseBytes(operator)
+		if err != nil {
+			return nil, fmt.Errorf("operator's file: %w", err)
+		}
+		keys, err := more.Object()
+		if err != nil {
+			return nil, fmt.Errorf("operator's file: %w", err)
+		}
+		keys.Visit(func(key []byte, value *fastjson.Value) { v.Set(string(key), value) })
+	}
 	o := fields.Of(v)
 	o.Must("listen", "journal", "settings")
 	c := &Config{
@@ -156,10 +174,11 @@
 		Message:     64 << 10,
 		Margin:      15 * ms,
 
-		AnswerLine:   1 << 10,
-		Object:       256 << 10,
-		Connect:      allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
-		UpstreamIdle: allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
+		ConnsPerCache: 4,
+		AnswerLine:    1 << 10,
+		Object:        256 << 10,
+		Connect:       allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
+		UpstreamIdle:  allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
 
 		JournalLine:  1 << 20,
 		JournalQuiet: 2 * time.Second,
@@ -176,7 +195,7 @@
 		Check:    Conn{Pending: 1 << 16, Read: time.Second, Write: time.Second, Idle: 5 * time.Second},
 		Journal:  Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
 	}
-	l.ClientConns, l.ConnsPerCache, l.CacheConns = l.Sockets/3, l.Sockets/8, l.Sockets*9/16
+	l.ClientConns, l.CacheConns = l.Sockets/3, l.Sockets/3
 	// Objects as they come in and go out may take a part of the memory; the rest is left to all else. What an
 	// open request holds beside them is small.
 	l.HeldBytes = l.MemoryMB << 20 / 3
