Tell page caches a wait 200 ms over the router's own, so that QUIT ends an attempt

Seen: with each failed attempt printed, the stall begins as a parent falls silent and fills from it reach their clients' time: the cache's own ms and our QUIT end the same attempt in the same millisecond (core.Permit set ms to exactly what was left). Ruled out: connections opened or closed at that time.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,6 +173,7 @@
 		OpenPerConn: 32,
 		Message:     64 << 10,
 		Margin:      15 * ms,
+		Overhang:    200 * ms,
 
 		ConnsPerCache: 4,
 		AnswerLine:    1 << 10,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -15,10 +15,11 @@
 	Longest       time.Duration // a client's wait, at most
 	HeldBytes     int           // bytes of messages that are not whole yet or wait for a slow peer, all together
 	Margin        time.Duration
-	ConnsPerCache int // connections to one page cache
-	CacheConns    int // connections to all of them
-	AnswerLine    int // bytes of the line that starts a page cache's answer
-	Object        int // bytes of an object
+	Overhang      time.Duration // a page cache is told a wait longer by this, so that our own word ends an attempt
+	ConnsPerCache int           // connections to one page cache
+	CacheConns    int           // connections to all of them
+	AnswerLine    int           // bytes of the line that starts a page cache's answer
+	Object        int           // bytes of an object
 	Connect       time.Duration
 	UpstreamIdle  time.Duration // after this an unused connection to a page cache is closed
 	JournalLine   int           // bytes of a line of the journal
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,7 @@
 	Source  *Member // nil: no fill
 	Get     brain.Get
 	Index   int
-	Left    time.Duration // how long the router will wait, from when Permit was asked
+	Left    time.Duration // how long the cache is told that the router will wait, from when Permit was asked
 
 	owner *request
 	sent  time.Duration
@@ -331,7 +331,7 @@
 	case a.Get.Source != a.Get.Node && (a.Source == nil || a.Source.State != brain.InService):
 		return brain.Full, brain.SourceRefused
 	}
-	a.Left = a.until - now
+	a.Left = a.until - now + c.lim.Overhang
 	return brain.OK, brain.NoNote
 }
 
