--- /dev/null
+++ b/internal/cachewire/client_test.go
@@ -0,0 +1,189 @@
+package cachewire
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"hillknot/brain"
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+	"hillknot/internal/netio"
+)
+
+// bench is a client with a core that only notes ends, and a page cache that the test plays.
+type bench struct {
+	t      *testing.T
+	posts  chan func()
+	ends   chan core.End
+	permit brain.Status
+	cl     *Client
+	ln     net.Listener
+	node   *core.Member
+}
+
+func (b *bench) Post(f func())                                   { b.posts <- f }
+func (b *bench) Permit(*core.Attempt) (brain.Status, brain.Note) { return b.permit, brain.NoNote }
+func (b *bench) End(_ *core.Attempt, e core.End)                 { b.ends <- e }
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := &bench{t: t, posts: make(chan func(), 100), ends: make(chan core.End, 100), ln: ln}
+	lim := config.Limits{ConnsPerCache: 2, CacheConns: 10, AnswerLine: 100, Object: 1 << 10, Connect: 10 * time.Second,
+		UpstreamIdle: time.Hour, Upstream: config.Conn{Pending: 1 << 16, Read: 10 * time.Second, Write: 10 * time.Second}}
+	b.cl = New(b, lim, &netio.Budget{Max: 1 << 20}, func() time.Duration { return 0 })
+	b.node = &core.Member{ID: "s-1", Addr: ln.Addr().String()}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case f := <-b.posts:
+				f()
+			case <-stop:
+				return
+			}
+		}
+	}()
+	return b
+}
+
+// do runs f where the core's goroutine would.
+func (b *bench) do(f func()) {
+	done := make(chan struct{})
+	b.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (b *bench) send(txn string) *core.Attempt {
+	a := &core.Attempt{Node: b.node, Request: &core.Request{Txn: txn, Class: "c", Item: "0a", Nth: "0"}}
+	b.do(func() { b.cl.Send(a) })
+	return a
+}
+
+func (b *bench) accept() (net.Conn, *bufio.Reader) {
+	b.t.Helper()
+	nc, err := b.ln.Accept()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return nc, bufio.NewReader(nc)
+}
+
+// expect reads the next line that holds words.
+func (b *bench) expect(r *bufio.Reader, start string) {
+	b.t.Helper()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			b.t.Fatalf("waiting for %q: %v", start, err)
+		}
+		if line = strings.TrimSpace(line); line != "" {
+			if !strings.HasPrefix(line, start) {
+				b.t.Fatalf("got %q, want %q", line, start)
+			}
+			return
+		}
+	}
+}
+
+func (b *bench) ended(want brain.Status) core.End {
+	b.t.Helper()
+	select {
+	case e := <-b.ends:
+		if e.Status != want {
+			b.t.Errorf("status %d, want %d", e.Status, want)
+		}
+		return e
+	case <-time.After(10 * time.Second):
+		b.t.Fatal("no end")
+	}
+	return core.End{}
+}
+
+func TestAskAndAnswer(t *testing.T) {
+	b := newBench(t)
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 kind=c,obj=0a,seg=0,")
+	fmt.Fprint(nc, "t1 DONE res=cached 5\r\nhe")
+	fmt.Fprint(nc, "llo\r\n")
+	if e := b.ended(brain.OK); string(e.Body) != "hello" || e.Note != brain.Hit {
+		t.Errorf("end %+v", e)
+	}
+}
+
+// A QUIT is written before the next attempt goes out, and the connection is used on. An answer that crossed
+// the QUIT is for nobody, so the same request goes over another connection.
+func TestQuit(t *testing.T) {
+	b := newBench(t)
+	a := b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	b.do(func() { b.cl.Quit(a) })
+	b.send("t2")
+	b.expect(r, "QUIT t1")
+	b.expect(r, "ASK t2 ")
+	b.send("t1")
+	_, other := b.accept()
+	b.expect(other, "ASK t1 ")
+	fmt.Fprint(nc, "t1 DONE - 0\r\n\r\nt2 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	if len(b.ends) != 0 {
+		t.Error("an answer that crossed the QUIT ended an attempt")
+	}
+}
+
+// A connection that breaks, or garbles, may have run what was open on it; a refused one proves that nothing ran.
+func TestBroken(t *testing.T) {
+	b := newBench(t)
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	nc.Close()
+	b.ended(brain.Reset)
+	b.send("t2")
+	nc, r = b.accept()
+	b.expect(r, "ASK t2 ")
+	fmt.Fprint(nc, "what is this\r\n")
+	b.ended(brain.Reset)
+	b.ln.Close()
+	b.send("t3")
+	b.ended(brain.ConnectFailed)
+}
+
+// What may no longer be sent as the connection comes up, after a drain say, is not written.
+func TestNotPermitted(t *testing.T) {
+	b := newBench(t)
+	b.permit = brain.ConnectFailed
+	b.send("t1")
+	b.ended(brain.ConnectFailed)
+	b.do(func() { b.permit = brain.OK })
+	b.send("t2")
+	_, r := b.accept()
+	b.expect(r, "ASK t2 ")
+}
+
+// A new page cache may have the address of one that has gone: nothing goes over the old connections.
+func TestForget(t *testing.T) {
+	b := newBench(t)
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	b.do(func() { b.cl.Forget(b.node) })
+	fmt.Fprint(nc, "t1 DONE - 0\r\n\r\n")
+	b.ended(brain.OK)
+	b.send("t2")
+	_, r = b.accept()
+	b.expect(r, "ASK t2 ")
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+const base = `{"listen":"127.0.0.1:1","journal":"127.0.0.1:2","settings":{"dcs":["e"],"locality":"e",
+	"profiles":[{"name":"a","deadlineUs":3000000}]}`
+
+func TestFiles(t *testing.T) {
+	c, err := Load("../../example/config.json", "../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.DNS.Listen != "127.0.0.1:7053" || c.Agent == "" || c.Health == "" || c.Limits.Longest.Seconds() != 5 {
+		t.Errorf("configuration %+v", c)
+	}
+	if text, err := os.ReadFile("../../deploy/balancer.toml"); err != nil || strings.Contains(string(text), "operator") {
+		t.Errorf("the further fronts are to be off on the platform (%v)", err)
+	}
+}
+
+// Open requests were once bounded by the largest object, which refused a third of a calm day's.
+func TestDefaults(t *testing.T) {
+	c, err := Parse([]byte(base+"}"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.Limits
+	if l.Open < 1000 || l.HeldBytes >= l.MemoryMB<<20/2 || l.ClientConns > l.Sockets/3 || l.ClientConns+l.CacheConns > l.Sockets*3/4 {
+		t.Errorf("limits %+v", l)
+	}
+	if c.DNS.Listen != "" || c.Agent != "" || c.Health != "" {
+		t.Errorf("fronts are on that nobody set up: %+v", c)
+	}
+}
+
+func TestFaultyKeys(t *testing.T) {
+	for text, want := range map[string]string{
+		`{}`: `"listen" is missing`,
+		strings.Replace(base, "127.0.0.1:1", "here", 1) + `}`:              `"listen" is no address`,
+		base + `,"limits":{"sockets":3}}`:                                  `"limits.sockets"`,
+		base + `,"limits":{"memory_mb":"much"}}`:                           `"limits.memory_mb"`,
+		base + `,"dns":{"listen":"127.0.0.1:3"}}`:                          `"dns.names"`,
+		base + `,"dns":{"listen":"127.0.0.1:3","names":["a..b"]}}`:         `"dns.names"`,
+		base + `,"dns":{"listen":"127.0.0.1:3","names":["a"],"ttl_s":0}}`:  `"dns.ttl_s"`,
+		strings.Replace(base, `"dcs":["e"]`, `"dcs":"e"`, 1) + `}`:         `"settings.dcs"`,
+		strings.Replace(base, `3000000`, `-1`, 1) + `}`:                    `"settings.profiles[0].deadlineUs"`,
+		strings.Replace(base, `"locality":"e"`, `"locality":"x"`, 1) + `}`: `"settings"`,
+	} {
+		if _, err := Parse([]byte(text), nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %s named", text, err, want)
+		}
+	}
+	if _, err := Parse([]byte(base+"}"), []byte(`{"health":{"listen":7}}`)); err == nil || !strings.Contains(err.Error(), "health.listen") {
+		t.Errorf("operator's file: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,203 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"hillknot/brain"
+	"hillknot/internal/config"
+)
+
+// rig is a core on a clock that the test sets, with an upstream that only notes what it is told.
+type rig struct {
+	t       *testing.T
+	c       *Core
+	now     time.Duration
+	out     []*Attempt // sent and neither ended nor given up
+	most    int        // the most attempts of one request that were out at once
+	answers []Answer
+}
+
+func (r *rig) Send(a *Attempt) {
+	r.out = append(r.out, a)
+	n := 0
+	for _, o := range r.out {
+		if o.owner == a.owner {
+			n++
+		}
+	}
+	r.most = max(r.most, n)
+}
+
+func (r *rig) Quit(a *Attempt) {
+	for i, o := range r.out {
+		if o == a {
+			r.out = append(r.out[:i], r.out[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *rig) Forget(*Member) {}
+
+func (r *rig) end(a *Attempt, e End) {
+	r.Quit(a)
+	r.c.End(a, e)
+	r.c.Turn()
+}
+
+func (r *rig) wait(d time.Duration) {
+	for until := r.now + d; r.now < until; {
+		r.now += 5 * time.Millisecond
+		r.c.Turn()
+	}
+}
+
+const second = time.Second
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, now: 1e6 * second}
+	lim := config.Limits{Open: 100, Resolves: 10, Margin: 15 * time.Millisecond, Longest: 5 * second, Overhang: 200 * time.Millisecond}
+	c, err := New(brain.Settings{Zone: "edge", Zones: []string{"hub", "edge"}, Kinds: []string{"box", "mid", "store"}, ParentKind: 1,
+		OriginKind: 2, MaxAttempts: 6, Cancel: true, PurgeDone: 6 * second, Classes: []brain.Class{
+			{Name: "page", Aim: 250 * time.Millisecond, AimStretch: 2, Deadline: 3 * second, Effect: brain.Safe, Worth: 1},
+			{Name: "order", Aim: 700 * time.Millisecond, Deadline: 3 * second, Worth: 3, Write: true}}},
+		lim, func() time.Duration { return r.now })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.c = c
+	c.Use(r)
+	c.Members(true, []Host{{ID: "a", Addr: "127.1.0.1:1", Kind: "box", Zone: "edge"}, {ID: "b", Addr: "127.1.0.2:1", Kind: "box", Zone: "edge"},
+		{ID: "m", Addr: "127.1.0.3:1", Kind: "mid", Zone: "hub"}, {ID: "o", Addr: "127.1.0.4:1", Kind: "store", Zone: "hub"}})
+	c.Turn()
+	return r
+}
+
+func (r *rig) submit(class string, limit time.Duration) brain.RequestID {
+	id := r.c.NewID()
+	r.c.Submit(id, Request{Txn: "t", Class: class, Object: 7, Limit: limit, Write: class == "order",
+		Reply: func(a Answer) { r.answers = append(r.answers, a) }})
+	r.c.Turn()
+	return id
+}
+
+func (r *rig) one(what string, v Verdict) {
+	r.t.Helper()
+	if len(r.answers) != 1 || r.answers[0].Verdict != v {
+		r.t.Errorf("%s: answers %+v, want one of verdict %d", what, r.answers, v)
+	}
+}
+
+func TestServed(t *testing.T) {
+	r := newRig(t)
+	r.submit("page", 3*second)
+	if len(r.out) != 1 || r.out[0].Source == nil {
+		t.Fatalf("attempts %+v", r.out)
+	}
+	r.end(r.out[0], End{Status: brain.OK, Note: brain.Hit, Body: []byte("x")})
+	r.wait(4 * second)
+	r.one("served", Served)
+}
+
+// However the attempts end, there is one answer, in time, and never two attempts at once.
+func TestOneAnswer(t *testing.T) {
+	for s := brain.Error; s <= brain.Miss; s++ {
+		for _, class := range []string{"page", "order"} {
+			r := newRig(t)
+			r.submit(class, 3*second)
+			sent := 0
+			for end := r.now + 3*second; r.now < end && len(r.answers) == 0; r.wait(20 * time.Millisecond) {
+				if len(r.out) > 0 {
+					sent++
+					r.end(r.out[0], End{Status: s})
+				}
+			}
+			if len(r.answers) != 1 || r.most != 1 {
+				t.Errorf("%s, status %d: answers %+v, %d attempts at once", class, s, r.answers, r.most)
+			}
+			if class == "order" && !s.NeverRan() && (sent != 1 || r.answers[0].Verdict != Failed) {
+				t.Errorf("order, status %d: %d attempts, answers %+v; what may have run is not resent", s, sent, r.answers)
+			}
+		}
+	}
+}
+
+// A cache that says nothing: the attempt is given up and the answer is there before the client's time is over.
+func TestSilence(t *testing.T) {
+	r := newRig(t)
+	r.submit("order", second)
+	r.wait(second - 5*time.Millisecond)
+	r.one("silent", Failed)
+	if len(r.out) != 0 {
+		t.Errorf("%d attempts are still out", len(r.out))
+	}
+}
+
+// The cache's own time-out must not meet our QUIT in the same moment: the router's word ends an attempt.
+func TestCacheIsToldALongerWait(t *testing.T) {
+	r := newRig(t)
+	r.submit("page", second)
+	if a := r.out[0]; a.Left != second-15*time.Millisecond+200*time.Millisecond {
+		t.Errorf("told %v", a.Left)
+	}
+}
+
+// After a cancel or a closed connection nothing is owed, but the attempt is given up.
+func TestWithdraw(t *testing.T) {
+	r := newRig(t)
+	id := r.submit("page", second)
+	r.c.Withdraw(id)
+	r.c.Turn()
+	r.wait(2 * second)
+	if len(r.out) != 0 || len(r.answers) != 0 {
+		t.Errorf("%d attempts out, answers %+v", len(r.out), r.answers)
+	}
+}
+
+// What was decided before a drain was told must not be written after it, as target or as source.
+func TestPermitAfterDrain(t *testing.T) {
+	for _, drained := range []string{"node", "source"} {
+		r := newRig(t)
+		r.submit("page", second)
+		a := r.out[0]
+		m := a.Node
+		if drained == "source" {
+			m = a.Source
+		}
+		if s, _ := r.c.Permit(a); s != brain.OK {
+			t.Fatalf("before: %d", s)
+		}
+		r.c.Members(false, []Host{{ID: m.ID, Addr: m.Addr, Kind: "box", Zone: "edge", State: brain.Draining}})
+		if s, _ := r.c.Permit(a); !s.NeverRan() {
+			t.Errorf("%s drained: status %d, want one that proves that it never ran", drained, s)
+		}
+	}
+}
+
+// An end that comes after the attempt was given up is nobody's.
+func TestLateEnd(t *testing.T) {
+	r := newRig(t)
+	id := r.submit("page", second)
+	a := r.out[0]
+	r.c.Withdraw(id)
+	r.c.End(a, End{Status: brain.OK})
+	r.c.Turn()
+	if len(r.answers) != 0 {
+		t.Errorf("answers %+v", r.answers)
+	}
+}
+
+// Over the limit a request is refused at once, not held.
+func TestFull(t *testing.T) {
+	r := newRig(t)
+	for range r.c.lim.Open {
+		r.submit("page", 3*second)
+	}
+	before := len(r.answers)
+	r.submit("page", 3*second)
+	if got := r.answers[before:]; len(got) != 1 || got[0].Verdict != Refused {
+		t.Errorf("answers %+v, want a refusal", got)
+	}
+}
