--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -110,8 +110,8 @@
 func (c *cache) answer(id string, f map[string]string) string {
 	part := f["obj"] + "/" + f["seg"]
 	c.mu.Lock()
-	hit := c.held[part]
-	c.held[part] = hit || f["retain"] != ""
+	hit := c.held[part] && f["retain"] != "" // what is not kept runs anew each time
+	c.held[part] = c.held[part] || f["retain"] != ""
 	c.mu.Unlock()
 	note := "cached"
 	if !hit {
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	defer nc.Close()
-	req := "GET /journal HTTP/1.1\r\nHost: " + cl.addr + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
+	req := "GET /journal HTTP/1.1\r\nHost: " + cl.addr + "\r\nAccept: text/event-stream\r\nConnection: close\r\nLast-Event-ID: " +
 		strconv.FormatInt(cl.last.Load(), 10) + "\r\n\r\n"
 	if err := nc.WriteNow([]byte(req)); err != nil {
 		return err
--- /dev/null
+++ b/internal/msgrpc/front_test.go
@@ -0,0 +1,168 @@
+package msgrpc
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hillknot/brain"
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+	"hillknot/internal/netio"
+)
+
+// desk is a core that hands what it gets to the test.
+type desk struct {
+	posts    chan func()
+	got      chan core.Request
+	withdrew chan brain.RequestID
+	ids      brain.RequestID
+}
+
+func (d *desk) Post(f func())                            { d.posts <- f }
+func (d *desk) NewID() brain.RequestID                   { d.ids++; return d.ids }
+func (d *desk) Submit(_ brain.RequestID, q core.Request) { d.got <- q }
+func (d *desk) Withdraw(id brain.RequestID)              { d.withdrew <- id }
+func (d *desk) Ready() bool                              { return true }
+func (d *desk) Stopping() bool                           { return false }
+
+type client struct {
+	t   *testing.T
+	nc  net.Conn
+	dec *msgpack.Decoder
+}
+
+func open(t *testing.T) (*desk, func() *client) {
+	t.Helper()
+	d := &desk{posts: make(chan func(), 100), got: make(chan core.Request, 100), withdrew: make(chan brain.RequestID, 100)}
+	lim := config.Limits{ClientConns: 10, OpenPerConn: 2, Message: 1 << 16,
+		Client: config.Conn{Pending: 1 << 20, Read: time.Minute, Write: time.Minute, Idle: time.Minute}}
+	f, err := Listen("127.0.0.1:0", d, lim, []brain.Class{{Name: "page"}}, &netio.Budget{Max: 1 << 22})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go f.Serve()
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case p := <-d.posts:
+				p()
+			case <-stop:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { f.Close(); close(stop) })
+	return d, func() *client {
+		nc, err := net.Dial("tcp", f.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(10 * time.Second))
+		return &client{t: t, nc: nc, dec: msgpack.NewDecoder(nc)}
+	}
+}
+
+func (c *client) send(v ...any) {
+	c.t.Helper()
+	if err := msgpack.NewEncoder(c.nc).Encode(v); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *client) call(id int, method string) {
+	c.send(0, id, method, []any{map[string]string{"txn": "9b1f03aa5c7e2d41", "limit": "1500", "item": "7f3a9c21e0b4d655",
+		"nth": "3", "batch": "17", "got": "4be0"}, []byte("body")})
+}
+
+// answer reads the next answer, which is to [1, id, error, result].
+func (c *client) answer(id int64) (word string, fields map[string]any, result any) {
+	c.t.Helper()
+	v, err := c.dec.DecodeSlice()
+	if err != nil || len(v) != 4 {
+		c.t.Fatalf("answer %v, error %v", v, err)
+	}
+	if got, ok := v[1].(int8); !ok || int64(got) != id {
+		c.t.Errorf("answer to %v, want %d", v[1], id)
+	}
+	if e, ok := v[2].([]any); ok {
+		word, fields = e[0].(string), e[1].(map[string]any)
+	}
+	return word, fields, v[3]
+}
+
+func TestCalls(t *testing.T) {
+	d, dial := open(t)
+	c := dial()
+	c.call(1, "page")
+	q := <-d.got
+	if q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Limit != 1500*time.Millisecond ||
+		q.Holds != "4be0" || string(q.Body) != "body" {
+		t.Errorf("request %+v", q)
+	}
+	d.Post(func() { q.Reply(core.Answer{Verdict: core.Served, Body: make([]byte, 70000)}) })
+	if w, _, res := c.answer(1); w != "" || len(res.([]any)[0].([]byte)) != 70000 {
+		t.Errorf("error %q", w)
+	}
+	c.call(2, "page")
+	q = <-d.got
+	d.Post(func() { q.Reply(core.Answer{Verdict: core.Refused, Wait: 400 * time.Millisecond}) })
+	if w, f, _ := c.answer(2); w != "Throttled" || f["later"] != "400" {
+		t.Errorf("refused: %q %v", w, f)
+	}
+	c.call(3, "page")
+	q = <-d.got
+	d.Post(func() { q.Reply(core.Answer{Verdict: core.Unchanged}) })
+	if _, _, res := c.answer(3); res.([]any)[1].(map[string]any)["ok304"] != "1" || len(res.([]any)[0].([]byte)) != 0 {
+		t.Errorf("unchanged: %v", res)
+	}
+	c.call(4, "what")
+	if w, _, _ := c.answer(4); w != "NoSuchMethod" {
+		t.Errorf("unknown method: %q", w)
+	}
+	c.send(0, 5, "page", []any{map[string]string{"txn": "a b"}, []byte{}})
+	if w, _, _ := c.answer(5); w != "BadRequest" {
+		t.Errorf("fields that can't be used: %q", w)
+	}
+	c.send(0, 6, "health", []any{map[string]string{}})
+	if _, _, res := c.answer(6); res.([]any)[0] != true {
+		t.Errorf("health: %v", res)
+	}
+}
+
+// After a cancel or a close nothing is owed; over the limit of a connection a request is refused at once.
+func TestCancelAndClose(t *testing.T) {
+	d, dial := open(t)
+	c := dial()
+	c.call(1, "page")
+	c.call(2, "page")
+	c.call(3, "page")
+	if w, _, _ := c.answer(3); w != "Throttled" {
+		t.Errorf("third open request: %q", w)
+	}
+	c.send(2, "cancel", []any{1})
+	if id := <-d.withdrew; id != 1 {
+		t.Errorf("withdrew %d", id)
+	}
+	c.nc.Close()
+	if id := <-d.withdrew; id != 2 {
+		t.Errorf("withdrew %d", id)
+	}
+}
+
+// A malformed message closes its connection and no other.
+func TestMalformed(t *testing.T) {
+	d, dial := open(t)
+	bad, good := dial(), dial()
+	bad.nc.Write([]byte{0xc1, 0xff})
+	if n, err := bad.nc.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("read %d, %v; want the end", n, err)
+	}
+	good.call(1, "page")
+	<-d.got
+}
