--- /dev/null
+++ b/brain/resolve_test.go
@@ -0,0 +1,105 @@
+package brain
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+// named returns the members that a resolver is told, and whether it was refused.
+func (r *rig) named(ev Resolve) (nodes []NodeID, refused bool) {
+	for _, a := range r.do(ev) {
+		switch a := a.(type) {
+		case Answer:
+			nodes = a.Nodes
+		case Refuse:
+			refused = true
+		}
+	}
+	return
+}
+
+// Resolvers' answers follow the rules of requests: the same hash, no other location, nobody who drains.
+func TestResolve(t *testing.T) {
+	r := newRig(t, site(), fleet())
+	seen := map[NodeID]int{}
+	for key := range uint64(60) {
+		first, _ := r.named(Resolve{ID: 1, Key: key, Want: 2, Load: 0.01, Hold: sec})
+		again, _ := r.named(Resolve{ID: 2, Key: key, Want: 2, Load: 0.01, Hold: sec})
+		if len(first) != 2 || first[0] == first[1] || !reflect.DeepEqual(first, again) {
+			t.Fatalf("key %d: %v, then %v", key, first, again)
+		}
+		seen[first[0]]++
+	}
+	if len(seen) != 3 || seen[9] > 0 || seen[11] > 0 {
+		t.Errorf("named %v, want the three caches of the own location", seen)
+	}
+	drained := node(2, "box", "edge")
+	drained.State = Draining
+	r.do(Members{Entries: []Entry{drained}})
+	for key := range uint64(60) {
+		if got, _ := r.named(Resolve{ID: 3, Key: key, Want: 3}); len(got) != 2 || got[0] == 2 || got[1] == 2 {
+			t.Errorf("key %d: %v after 2 drains", key, got)
+		}
+	}
+	if got, refused := r.named(Resolve{ID: 4, Want: 1, Only: 2}); got != nil || refused {
+		t.Errorf("only the drained one: %v, refused %v; want none", got, refused)
+	}
+}
+
+// A resolver's load stands for as long as it may keep the answer: a cold cache is named to a few only, and to
+// more once they let go of it.
+func TestResolveKeepsColdBudget(t *testing.T) {
+	start := node(1, "box", "edge")
+	r := newRig(t, site(), []Entry{start, node(11, "mid", "hub"), node(20, "store", "hub")})
+	for range 50 { // a usual load, while it is warm
+		r.end(r.ask("page", 7), 0, OK, Hit)
+		r.now += 20 * ms
+	}
+	start.Start = r.now
+	r.do(Members{Entries: []Entry{start}})
+	ask := func() (told int) {
+		for key := range uint64(200) {
+			if nodes, _ := r.named(Resolve{ID: 5, Key: key, Want: 1, Load: 0.01, Hold: 3 * sec}); nodes != nil {
+				told++
+			}
+		}
+		return
+	}
+	first := ask()
+	if second := ask(); first == 0 || first > 100 || second != 0 {
+		t.Errorf("%d resolvers of 200 were told of a cold cache, then %d more", first, second)
+	}
+	r.now += 4 * sec
+	if later := ask(); later < first {
+		t.Errorf("%d resolvers were told after the first let go, %d at first", later, first)
+	}
+	if _, refused := r.named(Resolve{ID: 6, Want: 1, Load: 0.01, Hold: sec}); !refused {
+		t.Error("no refusal with the budget used up")
+	}
+}
+
+// What comes in together gives what it would have given one by one.
+func TestHandleBatch(t *testing.T) {
+	one, all := newRig(t, site(), fleet()), newRig(t, site(), fleet())
+	var evs []Event
+	var want []Action
+	for i := range 20 {
+		ev := Request{ID: RequestID(i + 1), Class: "page", Object: uint64(i % 5), Left: 3 * sec, SizeKB: 100}
+		evs, want = append(evs, ev), append(want, one.do(ev)...)
+	}
+	if got := append([]Action(nil), all.b.Handle(all.now, evs...)...); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// A refusal comes at once and says how long to stay away.
+func TestRefusalTellsWait(t *testing.T) {
+	s := site()
+	s.MaxWait = 500 * time.Millisecond
+	r := newRig(t, s, nil)
+	as := r.do(Request{ID: 1, Class: "page", Left: 3 * sec})
+	if len(as) == 0 || as[0] != (Refuse{ID: 1, Wait: s.MaxWait}) {
+		t.Errorf("actions %v", as)
+	}
+}
