--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -29,16 +29,17 @@
 	path := flag.String("config", os.Getenv("RELAY_CONFIG"), "the configuration `file`")
 	operator := flag.String("operator", os.Getenv("HILLKNOT_OPERATOR"), "a `file` with further keys, such as deploy/operator.json")
 	flag.Parse()
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	if err := run(*path, *operator, term); err != nil {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	if err := run(*path, *operator, signals); err != nil {
 		slog.Error("hillknot ends", "err", err)
 		os.Exit(1)
 	}
 }
 
-// run serves until a signal comes and all that was taken is answered.
-func run(path, operator string, term <-chan os.Signal) error {
+// run serves until a signal to end comes and all that was taken is answered. On SIGHUP the configuration is
+// read again.
+func run(path, operator string, signals <-chan os.Signal) error {
 	if path == "" {
 		return errors.New("no configuration: give -config or RELAY_CONFIG")
 	}
@@ -96,13 +97,31 @@
 		go func() { failed <- f.Serve() }()
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-term:
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve: %w", err)
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(path, operator, feed)
+				continue
+			}
+			finish(c, cfg.Limits)
+			return nil
+		}
+	}
+}
+
+// reload takes the journal's address from the configuration as it is now; all else holds from the start on.
+// A faulty file changes nothing: the router goes on with what it has.
+func reload(path, operator string, feed *journal.Client) {
+	cfg, err := config.Load(path, operator)
+	if err != nil {
+		slog.Error("configuration not taken", "err", err)
+		return
 	}
-	finish(c, cfg.Limits)
-	return nil
+	slog.Info("configuration read again", "journal", cfg.Journal)
+	feed.Move(cfg.Journal)
 }
 
 // server is a front with its sockets open.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -183,7 +183,7 @@
 
 		JournalLine:  1 << 20,
 		JournalQuiet: 2 * time.Second,
-		JournalRetry: 50 * ms,
+		JournalRetry: 25 * ms, JournalRetryMost: 200 * ms,
 
 		Resolves: 1024, DNSConns: 64, CheckConns: 16,
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -8,28 +8,29 @@
 	MemoryMB int // of the process
 	Sockets  int // descriptors of the process
 
-	ClientConns   int           // clients' connections
-	OpenPerConn   int           // open requests on one of them
-	Open          int           // open requests in all
-	Message       int           // bytes of a client's message
-	Longest       time.Duration // a client's wait, at most
-	HeldBytes     int           // bytes of messages that are not whole yet or wait for a slow peer, all together
-	Margin        time.Duration
-	Overhang      time.Duration // a page cache is told a wait longer by this, so that our own word ends an attempt
-	ConnsPerCache int           // connections to one page cache
-	CacheConns    int           // connections to all of them
-	AnswerLine    int           // bytes of the line that starts a page cache's answer
-	Object        int           // bytes of an object
-	Connect       time.Duration
-	UpstreamIdle  time.Duration // after this an unused connection to a page cache is closed
-	JournalLine   int           // bytes of a line of the journal
-	JournalQuiet  time.Duration // a journal that says nothing for so long is dead
-	JournalRetry  time.Duration // between two calls
-	Resolves      int           // DNS queries open at a time
-	DNSConns      int           // connections of resolvers over TCP
-	CheckConns    int           // connections of health checks
-	Linger        time.Duration // how long a router that is to end still takes requests
-	Finish        time.Duration // and how long it has in all to answer what is open
+	ClientConns      int           // clients' connections
+	OpenPerConn      int           // open requests on one of them
+	Open             int           // open requests in all
+	Message          int           // bytes of a client's message
+	Longest          time.Duration // a client's wait, at most
+	HeldBytes        int           // bytes of messages that are not whole yet or wait for a slow peer, all together
+	Margin           time.Duration
+	Overhang         time.Duration // a page cache is told a wait longer by this, so that our own word ends an attempt
+	ConnsPerCache    int           // connections to one page cache
+	CacheConns       int           // connections to all of them
+	AnswerLine       int           // bytes of the line that starts a page cache's answer
+	Object           int           // bytes of an object
+	Connect          time.Duration
+	UpstreamIdle     time.Duration // after this an unused connection to a page cache is closed
+	JournalLine      int           // bytes of a line of the journal
+	JournalQuiet     time.Duration // a journal that says nothing for so long is dead
+	JournalRetry     time.Duration // between two calls, at first
+	JournalRetryMost time.Duration // and where nothing comes of them
+	Resolves         int           // DNS queries open at a time
+	DNSConns         int           // connections of resolvers over TCP
+	CheckConns       int           // connections of health checks
+	Linger           time.Duration // how long a router that is to end still takes requests
+	Finish           time.Duration // and how long it has in all to answer what is open
 
 	Client, Upstream, Journal, DNS, Check Conn
 }
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"hillknot/internal/config"
@@ -23,12 +23,15 @@
 	Purge(byGroup bool, object, group uint64, at time.Duration)
 }
 
-// Client follows one journal.
+// Client follows one journal at a time.
 type Client struct {
 	core Core
-	addr string
 	lim  config.Limits
-	last atomic.Int64 // position of the latest event that was handed on
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed when the address has changed
+	last  int64         // position of the latest event that was handed on
 }
 
 // New returns a client that has handed on the events of the start.
@@ -37,64 +40,98 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := &Client{core: c, addr: addr, lim: lim}
+	cl := &Client{core: c, addr: addr, moved: make(chan struct{}), lim: lim}
 	for _, e := range evs {
 		cl.hand(e)
 	}
-	cl.last.Store(max(last, cl.last.Load()))
+	cl.last = max(last, cl.last)
 	return cl, nil
 }
 
-// hand hands an event on, once. The first event holds the whole list.
+// hand hands an event on, once: an old connection may still bring what a new one has brought. The first
+// event holds the whole list.
 func (cl *Client) hand(e Event) {
-	if e.Pos <= cl.last.Load() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if e.Pos <= cl.last {
 		return
 	}
-	e.Full = e.Full || e.List && cl.last.Load() == 0
-	cl.last.Store(e.Pos)
+	e.Full = e.Full || e.List && cl.last == 0
+	cl.last = e.Pos
 	cl.core.Post(func() { e.apply(cl.core) })
 }
 
-// Run follows the journal until stop is closed.
+// Move goes on with the journal at another address, at once and from the latest event on.
+func (cl *Client) Move(addr string) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if addr != cl.addr {
+		cl.addr = addr
+		close(cl.moved)
+		cl.moved = make(chan struct{})
+	}
+}
+
+// where tells the journal's address, the latest event and what is closed when the address changes.
+func (cl *Client) where() (addr string, last int64, moved <-chan struct{}) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.addr, cl.last, cl.moved
+}
+
+// Run follows the journal until stop is closed. A journal that brings nothing is called less and less often,
+// up to a bound; one that fell silent, or has moved, is called at once.
 func (cl *Client) Run(stop <-chan struct{}) {
+	wait := cl.lim.JournalRetry
 	for {
-		if err := cl.call(stop); err != nil {
-			slog.Warn("journal lost", "addr", cl.addr, "pos", cl.last.Load(), "err", err)
+		addr, pos, moved := cl.where()
+		heard, err := cl.call(addr, pos, moved, stop)
+		if err != nil {
+			slog.Warn("journal lost", "addr", addr, "pos", pos, "err", err)
+		}
+		if wait = min(2*wait, cl.lim.JournalRetryMost); heard {
+			wait = cl.lim.JournalRetry
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(cl.lim.JournalRetry):
+		case <-moved:
+			wait = cl.lim.JournalRetry
+		case <-time.After(wait):
 		}
 	}
 }
 
-// call reads the journal over one connection until that ends or falls silent.
-func (cl *Client) call(stop <-chan struct{}) error {
+// call reads the journal over one connection until that ends or falls silent, or the journal moves. It tells
+// whether anything came.
+func (cl *Client) call(addr string, pos int64, moved, stop <-chan struct{}) (heard bool, err error) {
 	s := &session{cl: cl, closed: make(chan struct{}), heard: make(chan struct{}, 1)}
 	s.stream = stream{max: cl.lim.JournalLine, event: s.event}
-	nc, err := netio.Dial(cl.addr, cl.lim.Connect, cl.lim.Journal, &netio.Budget{Max: int64(2 * cl.lim.JournalLine)}, func(*netio.Conn) netio.Handler { return s })
+	nc, err := netio.Dial(addr, cl.lim.Connect, cl.lim.Journal, &netio.Budget{Max: int64(2 * cl.lim.JournalLine)}, func(*netio.Conn) netio.Handler { return s })
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer nc.Close()
-	req := "GET /journal HTTP/1.1\r\nHost: " + cl.addr + "\r\nAccept: text/event-stream\r\nConnection: close\r\nLast-Event-ID: " +
-		strconv.FormatInt(cl.last.Load(), 10) + "\r\n\r\n"
+	req := "GET /journal HTTP/1.1\r\nHost: " + addr + "\r\nAccept: text/event-stream\r\nConnection: close\r\nLast-Event-ID: " +
+		strconv.FormatInt(pos, 10) + "\r\n\r\n"
 	if err := nc.WriteNow([]byte(req)); err != nil {
-		return err
+		return false, err
 	}
 	quiet := time.NewTimer(cl.lim.JournalQuiet)
 	defer quiet.Stop()
 	for {
 		select {
 		case <-s.heard:
+			heard = true
 			quiet.Reset(cl.lim.JournalQuiet)
 		case <-s.closed:
-			return fmt.Errorf("connection ended: %w", netio.ErrClosed)
+			return heard, fmt.Errorf("connection ended: %w", netio.ErrClosed)
 		case <-quiet.C:
-			return fmt.Errorf("nothing for %v", cl.lim.JournalQuiet)
+			return heard, fmt.Errorf("nothing for %v", cl.lim.JournalQuiet)
+		case <-moved:
+			return heard, nil
 		case <-stop:
-			return nil
+			return heard, nil
 		}
 	}
 }
@@ -115,7 +152,7 @@
 	}
 	used, err = s.stream.take(buf)
 	if err != nil {
-		slog.Warn("journal not understood", "addr", s.cl.addr, "err", err)
+		slog.Warn("journal not understood", "err", err)
 	}
 	return used, 0, err
 }
--- a/internal/journal/client_test.go
+++ b/internal/journal/client_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 	go srv.Serve(ln)
 	defer srv.Close()
 	l := &ledger{hosts: make(chan string, 100)}
-	lim := config.Limits{Connect: 10 * time.Second, JournalLine: 1 << 16, JournalQuiet: time.Minute, JournalRetry: time.Millisecond,
+	lim := config.Limits{Connect: 10 * time.Second, JournalLine: 1 << 16, JournalQuiet: time.Minute, JournalRetry: time.Millisecond, JournalRetryMost: time.Millisecond,
 		Journal: config.Conn{Pending: 1 << 16, Read: time.Minute, Write: time.Minute}}
 	start := fields.Of(fastjson.MustParse(`{"pos":2,"entries":[{"pos":1,"hosts":{"instances":[{"instanceId":"a","lifecycle":"ready"}]}},
 		{"pos":2,"hosts":{"instances":[{"instanceId":"b","lifecycle":"ready"}]}}]}`))
@@ -68,3 +69,48 @@
 		}
 	}
 }
+
+// A journal that has moved is called at its new address at once, from the latest event on, though the old one
+// stays open and goes on talking; what both tell is handed on once.
+func TestMove(t *testing.T) {
+	calls := make(chan string, 100)
+	serve := func(name string, pos int) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls <- name + " " + r.Header.Get("Last-Event-ID")
+			for p := 1; p <= pos; p++ {
+				fmt.Fprintf(w, "id: %d\ndata: {\"pos\":%d,\"expire\":{\"set\":%d,\"stamp\":5}}\n\n", p, p, p)
+			}
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	l := &ledger{hosts: make(chan string, 100)}
+	lim := config.Limits{Connect: 10 * time.Second, JournalLine: 1 << 16, JournalQuiet: time.Minute, JournalRetry: time.Minute,
+		JournalRetryMost: time.Minute, Journal: config.Conn{Pending: 1 << 16, Read: time.Minute, Write: time.Minute}}
+	cl, err := New(l, serve("old", 2), lim, fields.Object{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	defer close(stop) // before the servers close, which wait for their clients
+	go cl.Run(stop)
+	expect := func(c chan string, want string) {
+		t.Helper()
+		select {
+		case got := <-c:
+			if got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("no %q", want)
+		}
+	}
+	expect(calls, "old 0")
+	expect(l.hosts, "true 0 1")
+	expect(l.hosts, "true 0 2")
+	cl.Move(serve("new", 3))
+	expect(calls, "new 2")
+	expect(l.hosts, "true 0 3")
+}
