Tell the module of attempts whose client left as they were decided; make room for new peers

Caches were idle, refusals came at once, so the routers believed that all caches were full. Ruled out: descriptors and silent connections. Held bytes and open requests were far from their bounds. Cause: core.send dropped a Get whose request was withdrawn in the same turn, without an outcome (the r == nil case). The module had counted the attempt at the cache and on the link and went on counting it for good; each client that took back hundreds of requests at once used up that much room. Get now carries the attempt's number and such an attempt ends as not sent. Besides, against the same clients: connections that owe nothing make room for new ones (oldest silent, then longest idle), silent ones end after 1.5 s, idle ones after 5 s, a message may take 1.5 s in all; shares of the descriptors add up to what is given; limits over the class's deadline, long bodies and a second request under the id of an open one get an error; 64 calls that can't be used end their connection.

--- a/brain/api.go
+++ b/brain/api.go
@@ -215,6 +215,7 @@
 	// Get sends an attempt that may fill what is missing.
 	Get struct {
 		ID      RequestID
+		Attempt int // its number, counted from 0
 		Node    NodeID
 		Timeout time.Duration
 		Source  NodeID // a parent, the origin, or Node itself for no fill
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -418,7 +418,7 @@
 
 func (b *Brain) send(r *request, a attempt) {
 	a.sent, a.out = b.now, true
-	g := Get{ID: r.ID, Node: a.node.id, Source: a.source.id, Held: a.held}
+	g := Get{ID: r.ID, Attempt: len(r.attempts), Node: a.node.id, Source: a.source.id, Held: a.held}
 	if !r.class.Write && !r.Write {
 		// An object seen again ranks above one seen once, so that a scan washes nothing out.
 		g.Keep, g.MaxAge, g.Join = min(r.object.seen, 2), b.maxAge(r), b.s.Joins
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,6 +172,8 @@
 
 		OpenPerConn: 32,
 		Message:     64 << 10,
+		WriteBody:   48_000,
+		Faults:      64,
 		Margin:      15 * ms,
 		Overhang:    200 * ms,
 
@@ -185,18 +187,24 @@
 		JournalQuiet: 2 * time.Second,
 		JournalRetry: 25 * ms, JournalRetryMost: 200 * ms,
 
-		Resolves: 1024, DNSConns: 64, CheckConns: 16,
+		Resolves: 1024, CheckConns: 8,
 
 		Linger: 700 * ms,
 		Finish: 5500 * ms,
 
-		Client:   Conn{Pending: 8 << 20, Read: 5 * time.Second, Write: 5 * time.Second, Idle: 30 * time.Second},
+		// Clients close a connection that was idle for 4 s. Ours come later, so that a request seldom crosses them.
+		Client: Conn{Pending: 8 << 20, Read: 1500 * ms, Whole: 1500 * ms, Write: 5 * time.Second, Idle: 5 * time.Second,
+			Silent: 1500 * ms},
 		Upstream: Conn{Pending: 1 << 20, Read: 10 * time.Second, Write: 50 * ms},
-		DNS:      Conn{Pending: 1 << 18, Read: time.Second, Write: time.Second, Idle: 10 * time.Second},
-		Check:    Conn{Pending: 1 << 16, Read: time.Second, Write: time.Second, Idle: 5 * time.Second},
-		Journal:  Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
-	}
-	l.ClientConns, l.CacheConns = l.Sockets/3, l.Sockets/3
+		DNS: Conn{Pending: 1 << 18, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 10 * time.Second,
+			Silent: 2 * time.Second},
+		Check: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 5 * time.Second,
+			Silent: 2 * time.Second},
+		Journal: Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
+	}
+	// Clients hold up to a third of the descriptors. Some more are for strangers and for connections that are on
+	// their way out; caches have their own, and the listeners, the journal and the poller what is left.
+	l.ClientConns, l.CacheConns, l.DNSConns = l.Sockets*7/16, l.Sockets*5/16, l.Sockets/16
 	// Objects as they come in and go out may take a part of the memory; the rest is left to all else. What an
 	// open request holds beside them is small.
 	l.HeldBytes = l.MemoryMB << 20 / 3
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -12,6 +12,8 @@
 	OpenPerConn      int           // open requests on one of them
 	Open             int           // open requests in all
 	Message          int           // bytes of a client's message
+	WriteBody        int           // bytes of its body
+	Faults           int           // calls that can't be used, until their connection is closed
 	Longest          time.Duration // a client's wait, at most
 	HeldBytes        int           // bytes of messages that are not whole yet or wait for a slow peer, all together
 	Margin           time.Duration
@@ -38,7 +40,9 @@
 // Conn bounds the reads and writes of one connection.
 type Conn struct {
 	Pending int           // bytes that may wait to be written
-	Read    time.Duration // how long the rest of a message may take
+	Read    time.Duration // how long the next bytes of a message may take
+	Whole   time.Duration // and all of it from its first byte; 0: as long as bytes come
 	Write   time.Duration // how long a write may block
 	Idle    time.Duration // of one that was accepted: closed when nothing has moved for so long
+	Silent  time.Duration // and when nothing whole has come at all
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,7 +94,6 @@
 	id      brain.RequestID
 	end     time.Duration
 	attempt *Attempt
-	sent    int  // attempts so far
 	ran     bool // an attempt may have run
 }
 
@@ -114,6 +113,7 @@
 	now      time.Duration
 	events   []brain.Event
 	open     map[brain.RequestID]*request
+	txns     map[string]bool // of the open requests
 	members  map[brain.NodeID]*Member
 	queries  map[brain.RequestID]*query
 	timers   timers
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{},
-		open: map[brain.RequestID]*request{}, members: map[brain.NodeID]*Member{},
+		open: map[brain.RequestID]*request{}, txns: map[string]bool{}, members: map[brain.NodeID]*Member{},
 		queries: map[brain.RequestID]*query{}}
 	for _, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
@@ -250,8 +250,13 @@
 		q.Reply(Answer{Verdict: Refused})
 		return
 	}
+	if c.txns[q.Txn] { // page caches know a request by this id: two under one could not be told apart
+		q.Reply(Answer{Verdict: Failed, Reason: "BadRequest"})
+		return
+	}
 	r := &request{Request: q, id: id, end: c.now + left}
 	c.open[id] = r
+	c.txns[q.Txn] = true
 	heap.Push(&c.timers, timer{at: r.end, request: r})
 	c.events = append(c.events, brain.Request{ID: id, Class: q.Class, Object: q.Object, Part: q.Part, Group: q.Group,
 		Left: left, Write: q.Write})
@@ -264,9 +269,14 @@
 	}
 }
 
+func (c *Core) forget(r *request) {
+	delete(c.open, r.id)
+	delete(c.txns, r.Txn)
+}
+
 // drop closes a request without an answer.
 func (c *Core) drop(r *request) {
-	delete(c.open, r.id)
+	c.forget(r)
 	c.events = append(c.events, brain.ClientGone{ID: r.id})
 	if a := r.attempt; a != nil {
 		c.up.Quit(a)
@@ -279,7 +289,7 @@
 	if r == nil {
 		return
 	}
-	delete(c.open, r.id)
+	c.forget(r)
 	if at := r.attempt; at != nil {
 		c.up.Quit(at)
 		c.End(at, End{Status: brain.Cancelled})
@@ -291,11 +301,11 @@
 
 func (c *Core) send(g brain.Get) {
 	r := c.open[g.ID]
-	if r == nil {
+	if r == nil { // its client left in the moment of the decision; the module counts the attempt until it is told
+		c.events = append(c.events, brain.Outcome{ID: g.ID, Attempt: g.Attempt, Node: g.Node, Status: brain.Moot, Settled: true})
 		return
 	}
-	a := &Attempt{Request: &r.Request, Get: g, Index: r.sent, Node: c.members[g.Node], owner: r, sent: c.now, until: r.end}
-	r.sent++
+	a := &Attempt{Request: &r.Request, Get: g, Index: g.Attempt, Node: c.members[g.Node], owner: r, sent: c.now, until: r.end}
 	if g.Timeout > 0 {
 		a.until = min(a.until, c.now+g.Timeout)
 	}
@@ -345,7 +355,7 @@
 	r.attempt = nil
 	r.ran = r.ran || !e.Status.NeverRan()
 	if e.Status == brain.OK && c.open[r.id] == r {
-		delete(c.open, r.id)
+		c.forget(r)
 		if e.Unchanged {
 			r.Reply(Answer{Verdict: Unchanged})
 		} else {
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -28,16 +28,16 @@
 type Front struct {
 	core    Core
 	lim     config.Limits
-	classes map[string]bool // true: writes
+	classes map[string]brain.Class
 	budget  *netio.Budget
 	srv     *netio.Server
 }
 
 // Listen opens the listener. The budget bounds the answers that wait for slow clients, all together.
 func Listen(addr string, c Core, lim config.Limits, classes []brain.Class, budget *netio.Budget) (*Front, error) {
-	f := &Front{core: c, lim: lim, classes: map[string]bool{}, budget: budget}
+	f := &Front{core: c, lim: lim, classes: map[string]brain.Class{}, budget: budget}
 	for _, k := range classes {
-		f.classes[k.Name] = k.Write
+		f.classes[k.Name] = k
 	}
 	var err error
 	f.srv, err = netio.Listen(addr, lim.ClientConns, lim.Client, budget, func(nc *netio.Conn) netio.Handler {
@@ -57,9 +57,10 @@
 
 // conn is a client's connection. Its open requests belong to the core's goroutine.
 type conn struct {
-	f    *Front
-	nc   *netio.Conn
-	open map[uint64]brain.RequestID // by the client's message id
+	f      *Front
+	nc     *netio.Conn
+	open   map[uint64]brain.RequestID // by the client's message id
+	faults int                        // calls that could not be used
 }
 
 // Take implements netio.Handler.
@@ -67,7 +68,7 @@
 	for {
 		m, n, want, err := parse(buf[used:], c.f.lim.Message)
 		if err != nil {
-			slog.Warn("client connection closed", "remote", c.nc.Remote(), "err", err)
+			slog.Debug("client connection closed", "remote", c.nc.Remote(), "err", err)
 		}
 		if err != nil || n == 0 {
 			return used, want, err
@@ -94,8 +95,10 @@
 			c.f.core.Post(func() { c.cancel(m.ids) })
 		}
 	case string(m.method) == "health":
+		c.nc.Owe(1)
 		c.f.core.Post(func() { c.send(appendHealth(nil, m.id, c.f.core.Ready() && !c.f.core.Stopping())) })
 	default:
+		c.nc.Owe(1)
 		q, word := c.request(m)
 		c.f.core.Post(func() { c.submit(m.id, q, word) })
 	}
@@ -103,7 +106,7 @@
 
 // request turns a call into a request, or names the error that answers it. What it keeps is copied.
 func (c *conn) request(m message) (q core.Request, word string) {
-	write, ok := c.f.classes[string(m.method)]
+	class, ok := c.f.classes[string(m.method)]
 	if !ok {
 		return q, "NoSuchMethod"
 	}
@@ -116,13 +119,16 @@
 	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.limit) == 0 || !tag(f.got) {
 		return q, "BadRequest"
 	}
+	wait := time.Duration(limit) * time.Millisecond
+	if class.Deadline > 0 && wait > class.Deadline || len(m.body) > c.f.lim.WriteBody {
+		return q, "BadRequest" // no client of the class waits so long or brings so much
+	}
 	nth := string(f.nth)
 	if nth == "" {
 		nth = "0"
 	}
 	return core.Request{Txn: string(f.txn), Item: string(f.item), Nth: nth, Class: string(m.method), Object: object,
-		Part: part, Group: group, Limit: time.Duration(limit) * time.Millisecond, Holds: string(f.got),
-		Body: bytes.Clone(m.body), Write: write}, ""
+		Part: part, Group: group, Limit: wait, Holds: string(f.got), Body: bytes.Clone(m.body), Write: class.Write}, ""
 }
 
 // number reads a whole number; an absent one is 0.
@@ -156,6 +162,10 @@
 	case twice: // two answers under one id could not be told apart
 		c.nc.Close()
 	case word != "":
+		if c.faults++; c.faults > c.f.lim.Faults { // it goes on for as long as it is answered
+			c.nc.Close()
+			return
+		}
 		c.send(appendError(nil, msg, word, "", ""))
 	case len(c.open) >= c.f.lim.OpenPerConn || c.f.budget.Full():
 		c.send(appendError(nil, msg, "Throttled", "", ""))
@@ -174,12 +184,15 @@
 	for _, msg := range ids {
 		if id, ok := c.open[msg]; ok {
 			delete(c.open, msg)
+			c.nc.Owe(-1)
 			c.f.core.Withdraw(id)
 		}
 	}
 }
 
+// send sends the answer to one call.
 func (c *conn) send(b []byte) {
+	defer c.nc.Owe(-1)
 	if err := c.nc.Send(b); err != nil {
 		slog.Debug("answer not sent", "remote", c.nc.Remote(), "err", err)
 	}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -72,6 +72,9 @@
 	closed  bool
 	close   sync.Once
 	active  atomic.Int64 // Unix time in nanoseconds when bytes last came or went
+	spoke   atomic.Bool  // a whole message has come
+	owed    atomic.Int32 // answers that the handler has yet to give
+	evicted bool         // to make room; belongs to the server
 }
 
 func newConn(nc netpoll.Connection, lim config.Conn, budget *Budget) *Conn {
@@ -82,6 +85,17 @@
 	return c
 }
 
+// Owe counts answers that the handler owes, or has given. A connection on which none is owed may be closed
+// for being idle, or to make room.
+func (c *Conn) Owe(n int) { c.owed.Add(int32(n)) }
+
+// spare tells for how long nothing has moved on a connection on which nothing is owed.
+func (c *Conn) spare(now time.Time) (idle time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(now.UnixNano() - c.active.Load()), c.pending == 0 && c.owed.Load() == 0
+}
+
 // Remote is the peer's address.
 func (c *Conn) Remote() net.Addr { return c.nc.RemoteAddr() }
 
@@ -113,6 +127,7 @@
 // them all, and waits, for a bounded time, for the rest of a message that is cut.
 func (c *Conn) read(_ context.Context, nc netpoll.Connection) error {
 	r, want := nc.Reader(), 1
+	var due time.Time // of the rest of a message
 	for {
 		buf, err := c.peek(r, max(want, r.Len()))
 		if err != nil { // closed, too much, or the rest did not come in time
@@ -130,12 +145,20 @@
 		}
 		rest := len(buf) - used
 		if used > 0 {
+			c.spoke.Store(true)
 			_ = r.Release() // fails only after a close, which the next Peek tells
 		}
 		if rest == 0 && more <= 1 && r.Len() == 0 {
+			_ = nc.SetReadTimeout(c.lim.Read)
 			return nil
 		}
 		want = max(more, rest+1)
+		if c.lim.Whole > 0 { // a peer that sends byte by byte must not hold a message open for good
+			if used > 0 || due.IsZero() {
+				due = time.Now().Add(c.lim.Whole)
+			}
+			_ = nc.SetReadTimeout(max(min(c.lim.Read, time.Until(due)), time.Millisecond))
+		}
 	}
 }
 
@@ -274,7 +297,8 @@
 
 type connKey struct{}
 
-// Listen opens the listener. At most max connections are open at a time; more are closed at once.
+// Listen opens the listener. At most max connections are open at a time: a new one takes the place of one that
+// owes nothing, and is closed at once where there is none.
 func Listen(addr string, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
 	ln, err := netpoll.CreateListener("tcp", addr)
 	if err != nil {
@@ -298,9 +322,11 @@
 	return s.loop.Serve(s.ln)
 }
 
-// sweep closes connections on which nothing has moved for the idle time: a peer that vanished says nothing.
+// sweep closes connections that owe nothing and on which nothing has moved for the idle time, or for the
+// shorter one in which a new peer must have said something: a peer that vanished says nothing, and others
+// connect and stay for good.
 func (s *Server) sweep() {
-	t := time.NewTicker(s.lim.Idle / 4)
+	t := time.NewTicker(min(s.lim.Idle, s.lim.Silent) / 8)
 	defer t.Stop()
 	for {
 		select {
@@ -308,7 +334,9 @@
 			return
 		case now := <-t.C:
 			s.conns.Range(func(k, _ any) bool {
-				if c := k.(*Conn); now.UnixNano()-c.active.Load() > int64(s.lim.Idle) {
+				c := k.(*Conn)
+				idle, ok := c.spare(now)
+				if ok && (idle > s.lim.Idle || idle > s.lim.Silent && !c.spoke.Load()) {
 					c.Close()
 				}
 				return true
@@ -327,10 +355,9 @@
 }
 
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
-	if s.open.Add(1) > s.max {
+	if n := s.open.Add(1); n > s.max && (!s.evict() || n > s.max+s.max/8) {
 		s.open.Add(-1)
-		_ = nc.Close() // a peer that is turned away is told so by the close
-		return context.Background()
+		return context.Background() // it is closed in opened: here netpoll has yet to set it up
 	}
 	c := newConn(nc, s.lim, s.bud)
 	c.h = s.h(c)
@@ -343,11 +370,43 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
-func (s *Server) opened(ctx context.Context, _ netpoll.Connection) context.Context {
-	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-		if o, ok := c.h.(Opener); ok {
-			o.Opened()
+// evict closes a connection that owes nothing to make room for a new one: the oldest that has said nothing
+// for some time, else the one that is idle longest. It guards against peers that connect by hundreds and hold
+// on, which would else keep all others out. It runs on the poller's goroutine alone.
+func (s *Server) evict() bool {
+	var worst *Conn
+	var most time.Duration
+	now := time.Now()
+	s.conns.Range(func(k, _ any) bool {
+		c := k.(*Conn)
+		idle, ok := c.spare(now)
+		if !ok || c.evicted {
+			return true
+		}
+		if !c.spoke.Load() && idle > s.lim.Silent/8 {
+			idle += s.lim.Idle // before any that spoke
+		}
+		if worst == nil || idle > most {
+			worst, most = c, idle
 		}
+		return true
+	})
+	if worst == nil {
+		return false
+	}
+	worst.evicted = true
+	worst.Close()
+	return true
+}
+
+func (s *Server) opened(ctx context.Context, nc netpoll.Connection) context.Context {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		_ = nc.Close() // a peer that is turned away is told so by the close
+		return ctx
+	}
+	if o, ok := c.h.(Opener); ok {
+		o.Opened()
 	}
 	return ctx
 }
