--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -75,6 +75,9 @@
 	spoke   atomic.Bool  // a whole message has come
 	owed    atomic.Int32 // answers that the handler has yet to give
 	evicted bool         // to make room; belongs to the server
+
+	writeMu sync.Mutex // held while netpoll's output buffer is used
+	down    bool       // netpoll is about to free that buffer
 }
 
 func newConn(nc netpoll.Connection, lim config.Conn, budget *Budget) *Conn {
@@ -104,8 +107,13 @@
 	_ = c.nc.Close() // what can fail here is a connection that is closed already
 }
 
+// closing is netpoll's call before it frees its buffers. It guards against a write to a buffer that is gone,
+// which panics in netpoll: a peer may end the connection at any moment of a write.
 func (c *Conn) closing(netpoll.Connection) error {
 	c.close.Do(func() {
+		c.writeMu.Lock() // a write that waits has been woken by now
+		c.down = true
+		c.writeMu.Unlock()
 		c.mu.Lock()
 		c.closed = true
 		if !c.writing {
@@ -240,6 +248,11 @@
 }
 
 func (c *Conn) flush(bs ...[]byte) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.down {
+		return ErrClosed
+	}
 	c.active.Store(time.Now().UnixNano())
 	w := c.nc.Writer()
 	for _, b := range bs {
@@ -276,8 +289,8 @@
 		c.Close()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	if !nc.IsActive() { // it closed before the call-back was there
-		_ = c.closing(nc)
+	if !nc.IsActive() { // it closed before the call-backs were there, and netpoll leaves the rest to us
+		c.Close()
 	}
 	return c, nil
 }
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -170,3 +170,35 @@
 	}
 	return l.echo.Take(buf)
 }
+
+// A write to a connection that the peer has just ended is an error. It once panicked in netpoll, which frees
+// its buffers as the connection ends.
+func TestWriteAfterTheEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for range 20 {
+		ended := make(chan bool)
+		c, err := Dial(ln.Addr().String(), 10*time.Second, lim, &Budget{Max: 1 << 20}, func(*Conn) Handler { return ender{ended} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if peer, err := ln.Accept(); err != nil {
+			t.Fatal(err)
+		} else {
+			peer.Close()
+		}
+		<-ended
+		time.Sleep(time.Millisecond)
+		if err := c.WriteNow([]byte("x")); err == nil {
+			t.Error("written to a connection that has ended")
+		}
+	}
+}
+
+type ender struct{ ended chan bool }
+
+func (e ender) Take(buf []byte) (int, int, error) { return len(buf), 0, nil }
+func (e ender) Closed()                           { close(e.ended) }
