Give back the place of a connection that broke as it came up, and resend what was never written

Cause: cachewire's dial put a connection into its pool after its loss had been reported already, so nothing took it out again. Four resets of new connections used up the pool of a cache (ConnsPerCache), and each attempt there ended as not connected until the cache was replaced. Ruled out: the caches (no errors, few resets), descriptors (140 of 256), memory (8 MB), a list that lagged. Change: a connection that broke before its first request is no longer kept. An attempt that surely was not written (closed before, or the first write failed) goes out again on another connection, up to three times; any other failed write may have run. A connection to a cache that has gone closes with its last attempt, also when that is given up. What was given up is remembered for 5 to 10 s instead of up to 4096 entries a connection. So an answer that makes no progress for a second is taken to have stopped short (10 s before, in which all else on it waited in vain). KEEP for a client without a copy is spoilt. TestBrokenAsItComesUp, TestResetWhenIdle, TestQuitAtCacheThatHasGone and TestAnswerStopsShort fail without it.

--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -52,11 +52,27 @@
 	p     *pool
 	nc    *netio.Conn
 	open  map[string]*core.Attempt
-	past  map[string]bool // given up: an answer may yet cross, so the same is not asked for again on it
-	quit  bool            // takes nothing new
+	past  past
+	quit  bool // takes nothing new
 	idled time.Duration
 }
 
+// past remembers what was given up on a connection: an answer may yet cross, so the same is not asked for again
+// on it. It forgets after one to two times the longest request.
+type past struct {
+	txns   [2]map[string]bool // young and old
+	turned time.Duration
+}
+
+func (p *past) add(txn string, now, longest time.Duration) {
+	if p.txns[0] == nil || now-p.turned > longest {
+		p.txns[0], p.txns[1], p.turned = map[string]bool{}, p.txns[0], now
+	}
+	p.txns[0][txn] = true
+}
+
+func (p *past) has(txn string) bool { return p.txns[0][txn] || p.txns[1][txn] }
+
 // Send writes the attempt, at once or when a connection is up.
 func (cl *Client) Send(a *core.Attempt) {
 	p := cl.pools[a.Node]
@@ -82,7 +98,7 @@
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && c.open[a.Request.Txn] == nil && !c.past[a.Request.Txn] && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && c.open[a.Request.Txn] == nil && !c.past.has(a.Request.Txn) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -103,31 +119,38 @@
 	cl.conns++
 	go func() {
 		var c *conn
-		nc, err := netio.Dial(p.addr, cl.lim.Connect, cl.lim.Upstream, cl.budget, func(nc *netio.Conn) netio.Handler {
-			c = &conn{cl: cl, p: p, nc: nc, open: map[string]*core.Attempt{}, past: map[string]bool{}}
+		_, err := netio.Dial(p.addr, cl.lim.Connect, cl.lim.Upstream, cl.budget, func(nc *netio.Conn) netio.Handler {
+			c = &conn{cl: cl, p: p, nc: nc, open: map[string]*core.Attempt{}}
 			return c
 		})
-		cl.core.Post(func() {
-			p.dialing--
-			if err != nil {
-				cl.conns--
-				slog.Debug("page cache not reached", "addr", p.addr, "err", err)
-				if a := p.next(); a != nil {
-					cl.core.End(a, core.End{Status: brain.ConnectFailed})
-				}
-				return
-			}
-			if p.dead {
-				cl.conns--
-				nc.Close()
-				return
-			}
-			p.conns = append(p.conns, c)
-			cl.free(c)
-		})
+		cl.core.Post(func() { cl.dialed(p, c, err) })
 	}()
 }
 
+// dialed takes a new connection in, or what came of it.
+func (cl *Client) dialed(p *pool, c *conn, err error) {
+	p.dialing--
+	switch {
+	case err != nil:
+		cl.conns--
+		slog.Debug("page cache not reached", "addr", p.addr, "err", err)
+		if a := p.next(); a != nil {
+			cl.core.End(a, core.End{Status: brain.ConnectFailed})
+		}
+	case p.dead:
+		cl.conns--
+		c.nc.Close()
+	case c.quit: // it broke before anything was written, and is to take up no place
+		cl.conns--
+		if a := p.next(); a != nil {
+			cl.again(a)
+		}
+	default:
+		p.conns = append(p.conns, c)
+		cl.free(c)
+	}
+}
+
 func (p *pool) next() *core.Attempt {
 	if len(p.waiting) == 0 {
 		return nil
@@ -155,13 +178,36 @@
 		cl.core.End(a, core.End{Status: s, Note: n})
 		return
 	}
+	err := c.nc.WriteNow(appendAsk(nil, a))
+	if netio.Unwritten(err) { // it has not come to the cache, so it can't run
+		c.lost()
+		cl.again(a)
+		return
+	}
 	c.open[a.Request.Txn] = a
 	cl.at[a] = c
-	if err := c.nc.WriteNow(appendAsk(nil, a)); err != nil {
+	if err != nil {
 		c.lost()
 	}
 }
 
+// again sends an attempt whose connection broke before it was written whole. Connections that were idle, or
+// have just come up, are reset now and then; a cache that does so each time is not there.
+func (cl *Client) again(a *core.Attempt) {
+	s, n := cl.core.Permit(a)
+	if a.Broken++; a.Broken > maxBroken && s == brain.OK {
+		s = brain.ConnectFailed
+	}
+	if s != brain.OK {
+		cl.core.End(a, core.End{Status: s, Note: n})
+		return
+	}
+	cl.Send(a)
+}
+
+// maxBroken is how many connections may break under an attempt that was not written whole.
+const maxBroken = 3
+
 // Quit gives an attempt up. Its connection is kept: a close would give up all else on it, and many at once
 // would have to be opened anew in the moment of a trouble.
 func (cl *Client) Quit(a *core.Attempt) {
@@ -175,18 +221,16 @@
 		return
 	}
 	c.done(a)
-	if len(c.past) >= maxPast {
-		clear(c.past) // their answers would have come long since
-	}
-	c.past[a.Request.Txn] = true
+	c.past.add(a.Request.Txn, cl.clock(), cl.lim.Longest)
 	if err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn)); err != nil {
 		c.lost()
+	} else if c.quit && len(c.open) == 0 { // of a cache that has gone
+		c.retire()
+	} else if len(c.open) == 0 {
+		cl.free(c)
 	}
 }
 
-// maxPast bounds what a connection remembers of requests that were given up on it.
-const maxPast = 1 << 12
-
 // Forget drops the connections to a cache that has gone or is another now.
 func (cl *Client) Forget(m *core.Member) {
 	p := cl.pools[m]
@@ -256,6 +300,11 @@
 		return
 	}
 	c.done(a)
+	if e.Unchanged && a.Request.Holds == "" { // a copy that the client does not have: spoilt
+		c.cl.core.End(a, core.End{Status: brain.Reset})
+		c.lost()
+		return
+	}
 	c.cl.core.End(a, e)
 	switch {
 	case len(c.open) > 0:
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -187,3 +188,80 @@
 	_, r = b.accept()
 	b.expect(r, "ASK t2 ")
 }
+
+// A reset of an idle connection proves that what is sent next has not run: it goes out again on a new one.
+func TestResetWhenIdle(t *testing.T) {
+	b := newBench(t)
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	fmt.Fprint(nc, "t1 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	b.do(func() { // the client has yet to be told of the reset as it sends
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+		for c := b.cl.pools[b.node].conns[0]; c.nc.WriteNow([]byte("\r\n")) == nil; {
+			time.Sleep(time.Millisecond)
+		}
+		b.cl.Send(&core.Attempt{Node: b.node, Request: &core.Request{Txn: "t2", Class: "c", Item: "0a", Nth: "0"}})
+	})
+	_, r = b.accept()
+	b.expect(r, "ASK t2 ")
+	if len(b.ends) != 0 {
+		t.Errorf("ended with %+v", <-b.ends)
+	}
+}
+
+// A connection that breaks as it comes up leaves no trace. It once kept its place in the pool: after four the
+// cache could not be reached any more.
+func TestBrokenAsItComesUp(t *testing.T) {
+	b := newBench(t)
+	p := &pool{addr: b.node.Addr, dialing: 1}
+	c := &conn{cl: b.cl, p: p, open: map[string]*core.Attempt{}}
+	var err error
+	if c.nc, err = netio.Dial(p.addr, 10*time.Second, b.cl.lim.Upstream, b.cl.budget, func(*netio.Conn) netio.Handler { return c }); err != nil {
+		t.Fatal(err)
+	}
+	b.do(func() {
+		b.cl.pools[b.node], b.cl.conns = p, 1
+		c.lost()
+		b.cl.dialed(p, c, nil)
+		if len(p.conns) != 0 || p.dialing != 0 || b.cl.conns != 0 {
+			t.Errorf("%d connections, %d being dialed, %d in all; want none", len(p.conns), p.dialing, b.cl.conns)
+		}
+	})
+}
+
+// The connection to a cache that has gone is closed with the last attempt on it, however that ends.
+func TestQuitAtCacheThatHasGone(t *testing.T) {
+	b := newBench(t)
+	a := b.send("t1")
+	_, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	b.do(func() { b.cl.Forget(b.node); b.cl.Quit(a) })
+	b.expect(r, "QUIT t1")
+	if line, err := r.ReadString('\n'); err != io.EOF {
+		t.Errorf("read %q, %v; want the end", line, err)
+	}
+}
+
+// An answer that stops short ends its connection soon: all that is asked for on it would wait for nothing. One
+// that goes on, however slowly, is waited for.
+func TestAnswerStopsShort(t *testing.T) {
+	b := newBench(t)
+	b.cl.lim.Upstream.Read = time.Second
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	fmt.Fprint(nc, "t1 DONE - 130\r\n")
+	for range 130 {
+		time.Sleep(10 * time.Millisecond)
+		fmt.Fprint(nc, "x")
+	}
+	fmt.Fprint(nc, "\r\n")
+	b.ended(brain.OK)
+	b.send("t2")
+	b.expect(r, "ASK t2 ")
+	fmt.Fprint(nc, "t2 DONE - 300\r\nhe")
+	b.ended(brain.Reset)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,7 +179,7 @@
 
 		ConnsPerCache: 4,
 		AnswerLine:    1 << 10,
-		Object:        256 << 10,
+		Object:        240_000,
 		Connect:       allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
 		UpstreamIdle:  allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
 
@@ -195,7 +195,8 @@
 		// Clients close a connection that was idle for 4 s. Ours come later, so that a request seldom crosses them.
 		Client: Conn{Pending: 8 << 20, Read: 1500 * ms, Whole: 1500 * ms, Write: 5 * time.Second, Idle: 5 * time.Second,
 			Silent: 1500 * ms},
-		Upstream: Conn{Pending: 1 << 20, Read: 10 * time.Second, Write: 50 * ms},
+		// Answers come whole, or nearly: a pause of a second inside one says that it has stopped short.
+		Upstream: Conn{Pending: 1 << 20, Read: time.Second, Write: 50 * ms},
 		DNS: Conn{Pending: 1 << 18, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 10 * time.Second,
 			Silent: 2 * time.Second},
 		Check: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 5 * time.Second,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,7 @@
 	Get     brain.Get
 	Index   int
 	Left    time.Duration // how long the cache is told that the router will wait, from when Permit was asked
+	Broken  int           // connections that broke before it was written whole; the upstream counts them
 
 	owner *request
 	sent  time.Duration
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -170,7 +171,8 @@
 	}
 }
 
-// peek waits for n bytes, which count as held meanwhile.
+// peek waits for n bytes, which count as held meanwhile. The read time-out runs from the latest that came, so
+// that a long message may take its time, but not one that has stopped short.
 func (c *Conn) peek(r netpoll.Reader, n int) ([]byte, error) {
 	if n > r.Len() {
 		if !c.budget.take(n) {
@@ -178,6 +180,11 @@
 		}
 		defer c.budget.add(-n)
 	}
+	for have := r.Len(); have < n; have = r.Len() {
+		if _, err := r.Peek(have + 1); err != nil {
+			return nil, err
+		}
+	}
 	return r.Peek(n)
 }
 
@@ -250,7 +257,7 @@
 func (c *Conn) flush(bs ...[]byte) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	if c.down {
+	if c.down || !c.nc.IsActive() {
 		return ErrClosed
 	}
 	c.active.Store(time.Now().UnixNano())
@@ -273,6 +280,12 @@
 	return nil
 }
 
+// Unwritten tells, of an error of WriteNow, whether the bytes surely have not gone out: the connection was closed
+// before, or the first write to it failed. Any other error may have come as the last of them went.
+func Unwritten(err error) bool {
+	return errors.Is(err, ErrClosed) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Dial connects and hands what comes in to the handler.
 func Dial(addr string, timeout time.Duration, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Conn, error) {
 	nc, err := netpoll.NewDialer().DialConnection("tcp", addr, timeout)
