Count a connection that breaks once against its cache, however many attempts were on it

A spoilt answer ends its connection, and with it every attempt there; judge called ill for each, so that one break with three neighbours made the cache bad (failsInRow) and cut its trust to a sixteenth. Change: Reset counts once for all attempts that end at the same moment at a cache.

--- a/brain/state.go
+++ b/brain/state.go
@@ -65,6 +65,7 @@
 	out     int           // own attempts outstanding there, or naming it as source
 	fails   int           // failures in a row
 	sign    time.Duration // latest sign of life
+	broke   time.Duration // when a connection to it broke last
 	bad     bool
 	trial   time.Duration // when it may be tried next
 	misses  float64       // share of attempts there that were no hit, lately (caches)
--- a/brain/troubles_test.go
+++ b/brain/troubles_test.go
@@ -12,6 +12,7 @@
 		if o > 1200 {
 			r.t.Fatalf("node %d was never shunned", id)
 		}
+		r.now += ms
 		if g := r.ask("page", o); g.Node == id {
 			r.end(g, 0, st, NoNote)
 		} else if g.Node != 0 {
@@ -20,6 +21,26 @@
 	}
 }
 
+// A connection that breaks ends all attempts on it at once: one spoilt answer must not make its cache bad.
+func TestBrokenConnectionCountsOnce(t *testing.T) {
+	r := newRig(t, site(), fleet())
+	var out []Get
+	for o := range uint64(24) {
+		if g := r.ask("page", o); g.Node == 1 {
+			out = append(out, g)
+		}
+	}
+	if len(out) <= failsInRow {
+		t.Fatalf("only %d attempts at the cache", len(out))
+	}
+	for _, g := range out {
+		r.end(g, 0, Reset, NoNote)
+	}
+	if m := r.b.members[1]; m.bad || m.fails != 1 {
+		t.Errorf("%d failures, bad: %v; want one", m.fails, m.bad)
+	}
+}
+
 // A crashed cache is left after a few failures, though the list still names it (a late list), is tried about
 // once a second, and gets its work back when it answers.
 func TestCrashAndColdReturn(t *testing.T) {
