Pass over and close connections that owe answers and bring none

Checked with a probe of each QUIT: single connections had brought no answer for up to 16 s and 86 given-up attempts, while others to the same cache answered. Ruled out: the caches, the list, the links, held bytes. Cause: a connection cut off without a sign stayed in its pool for good. pick takes the one with the fewest open attempts, so each silent one got its share of all requests, which then waited for their clients' whole time. Change: a connection that has owed answers for a second (UpstreamSilent) with none coming takes nothing new and no place in the pool; an attempt given up on it marks it, and it closes with the last that it owes. TestSilentConnection fails without it.

--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -55,6 +55,13 @@
 	past  past
 	quit  bool // takes nothing new
 	idled time.Duration
+	since time.Duration // it owes answers since then, or since the latest that came
+}
+
+// silent tells whether answers are owed and none has come for long, as on a connection that was cut off without
+// a sign: others to the same cache may be well.
+func (c *conn) silent() bool {
+	return len(c.open) > 0 && c.cl.clock()-c.since > c.cl.lim.UpstreamSilent
 }
 
 // past remembers what was given up on a connection: an answer may yet cross, so the same is not asked for again
@@ -82,7 +89,7 @@
 	}
 	cl.reap(p)
 	c := p.pick(a)
-	room := len(p.conns)+p.dialing < cl.lim.ConnsPerCache && cl.conns < cl.lim.CacheConns
+	room := p.live()+p.dialing < cl.lim.ConnsPerCache && cl.conns < cl.lim.CacheConns
 	switch {
 	case c == nil && !room:
 		cl.core.End(a, core.End{Status: brain.ConnectFailed})
@@ -98,13 +105,23 @@
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && c.open[a.Request.Txn] == nil && !c.past.has(a.Request.Txn) && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && !c.past.has(a.Request.Txn) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
 	return best
 }
 
+// live is how many connections are of use.
+func (p *pool) live() (n int) {
+	for _, c := range p.conns {
+		if !c.quit && !c.silent() {
+			n++
+		}
+	}
+	return n
+}
+
 // reap closes connections that were idle for long, before the cache does.
 func (cl *Client) reap(p *pool) {
 	for _, c := range slices.Clone(p.conns) {
@@ -184,6 +201,9 @@
 		cl.again(a)
 		return
 	}
+	if len(c.open) == 0 {
+		c.since = cl.clock()
+	}
 	c.open[a.Request.Txn] = a
 	cl.at[a] = c
 	if err != nil {
@@ -220,11 +240,12 @@
 		}
 		return
 	}
+	c.quit = c.quit || c.silent() // nothing is asked for on it again; it closes with the last that it owes
 	c.done(a)
 	c.past.add(a.Request.Txn, cl.clock(), cl.lim.Longest)
 	if err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn)); err != nil {
 		c.lost()
-	} else if c.quit && len(c.open) == 0 { // of a cache that has gone
+	} else if c.quit && len(c.open) == 0 {
 		c.retire()
 	} else if len(c.open) == 0 {
 		cl.free(c)
@@ -295,6 +316,7 @@
 
 // answered ends an attempt; an answer that crossed a QUIT is for nobody.
 func (c *conn) answered(id string, e core.End) {
+	c.since = c.cl.clock()
 	a := c.open[id]
 	if a == nil {
 		return
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	posts  chan func()
 	ends   chan core.End
 	permit brain.Status
+	now    atomic.Int64
 	cl     *Client
 	ln     net.Listener
 	node   *core.Member
@@ -39,8 +41,8 @@
 	t.Cleanup(func() { ln.Close() })
 	b := &bench{t: t, posts: make(chan func(), 100), ends: make(chan core.End, 100), ln: ln}
 	lim := config.Limits{ConnsPerCache: 2, CacheConns: 10, AnswerLine: 100, Object: 1 << 10, Connect: 10 * time.Second,
-		UpstreamIdle: time.Hour, Upstream: config.Conn{Pending: 1 << 16, Read: 10 * time.Second, Write: 10 * time.Second}}
-	b.cl = New(b, lim, &netio.Budget{Max: 1 << 20}, func() time.Duration { return 0 })
+		UpstreamIdle: time.Hour, UpstreamSilent: time.Second, Longest: time.Minute, Upstream: config.Conn{Pending: 1 << 16, Read: 10 * time.Second, Write: 10 * time.Second}}
+	b.cl = New(b, lim, &netio.Budget{Max: 1 << 20}, func() time.Duration { return time.Duration(b.now.Load()) })
 	b.node = &core.Member{ID: "s-1", Addr: ln.Addr().String()}
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
@@ -265,3 +267,25 @@
 	fmt.Fprint(nc, "t2 DONE - 300\r\nhe")
 	b.ended(brain.Reset)
 }
+
+// A connection may be cut off without a sign while the cache is well. One that owes an answer and brings none is
+// passed over, and closed once what it owes is given up; it once stayed in use and took a share of all requests.
+func TestSilentConnection(t *testing.T) {
+	b := newBench(t)
+	a := b.send("t1")
+	_, silent := b.accept()
+	b.expect(silent, "ASK t1 ")
+	b.now.Store(int64(2 * time.Second))
+	b.send("t2")
+	nc, r := b.accept()
+	b.expect(r, "ASK t2 ")
+	fmt.Fprint(nc, "t2 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	b.do(func() { b.cl.Quit(a) })
+	b.expect(silent, "QUIT t1")
+	if line, err := silent.ReadString('\n'); err != io.EOF {
+		t.Errorf("read %q, %v; want the end", line, err)
+	}
+	b.send("t3")
+	b.expect(r, "ASK t3 ")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -183,6 +183,8 @@
 		Connect:       allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
 		UpstreamIdle:  allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
 
+		UpstreamSilent: time.Second,
+
 		JournalLine:  1 << 20,
 		JournalQuiet: 2 * time.Second,
 		JournalRetry: 25 * ms, JournalRetryMost: 200 * ms,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -24,6 +24,7 @@
 	Object           int           // bytes of an object
 	Connect          time.Duration
 	UpstreamIdle     time.Duration // after this an unused connection to a page cache is closed
+	UpstreamSilent   time.Duration // one that owes answers and brings none for so long takes nothing new
 	JournalLine      int           // bytes of a line of the journal
 	JournalQuiet     time.Duration // a journal that says nothing for so long is dead
 	JournalRetry     time.Duration // between two calls, at first
