Close silent connections a second after their last attempt, not together with its QUIT

Change: such a connection takes nothing new as before, but closes when it has been unused for a second (reap).

--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -125,7 +125,8 @@
 // reap closes connections that were idle for long, before the cache does.
 func (cl *Client) reap(p *pool) {
 	for _, c := range slices.Clone(p.conns) {
-		if len(c.open) == 0 && cl.clock()-c.idled > cl.lim.UpstreamIdle {
+		idle := cl.clock() - c.idled
+		if len(c.open) == 0 && (idle > cl.lim.UpstreamIdle || c.quit && idle > cl.lim.UpstreamSilent) {
 			c.retire()
 		}
 	}
@@ -240,12 +241,13 @@
 		}
 		return
 	}
-	c.quit = c.quit || c.silent() // nothing is asked for on it again; it closes with the last that it owes
+	c.quit = c.quit || c.silent() // nothing is asked for on it again
+	c.idled = cl.clock()
 	c.done(a)
 	c.past.add(a.Request.Txn, cl.clock(), cl.lim.Longest)
 	if err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn)); err != nil {
 		c.lost()
-	} else if c.quit && len(c.open) == 0 {
+	} else if c.p.dead && len(c.open) == 0 {
 		c.retire()
 	} else if len(c.open) == 0 {
 		cl.free(c)
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -283,9 +283,10 @@
 	b.ended(brain.Full)
 	b.do(func() { b.cl.Quit(a) })
 	b.expect(silent, "QUIT t1")
+	b.now.Store(int64(4 * time.Second))
+	b.send("t3")
+	b.expect(r, "ASK t3 ")
 	if line, err := silent.ReadString('\n'); err != io.EOF {
 		t.Errorf("read %q, %v; want the end", line, err)
 	}
-	b.send("t3")
-	b.expect(r, "ASK t3 ")
 }
