Add the operators' front with status, figures and standby; take an inherited listener

Ruled out: that the listener is inherited blocking (netpoll sets it back). Also: a flood of silent callers once turned new ones away while those that gave way were still closing; places are kept for these.

--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -23,6 +23,7 @@
 	"hillknot/internal/journal"
 	"hillknot/internal/msgrpc"
 	"hillknot/internal/netio"
+	"hillknot/internal/ops"
 )
 
 func main() {
@@ -57,13 +58,13 @@
 	if err != nil {
 		return err
 	}
-	budget := &netio.Budget{Max: int64(cfg.Limits.HeldBytes)}
+	budget := netio.NewBudget(cfg.Limits.HeldBytes)
 	c.Use(cachewire.New(c, cfg.Limits, budget, clock))
 	feed, err := journal.New(c, cfg.Journal, cfg.Limits, cfg.Known)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	front, err := msgrpc.Listen(cfg.Listen, c, cfg.Limits, cfg.Settings.Classes, budget)
+	front, err := msgrpc.Listen(cfg.Listen, cfg.Inherited, c, cfg.Limits, cfg.Settings.Classes, budget)
 	if err != nil {
 		return err
 	}
@@ -75,16 +76,17 @@
 		}
 		fronts = append(fronts, f)
 	}
-	for _, check := range []struct {
-		addr   string
-		listen func(string, agentcheck.Core, config.Limits) (*agentcheck.Front, error)
-	}{{cfg.Agent, agentcheck.ListenAgent}, {cfg.Health, agentcheck.ListenHTTP}} {
-		if check.addr == "" {
-			continue
+	if cfg.Agent != "" {
+		f, err := agentcheck.Listen(cfg.Agent, c, cfg.Limits)
+		if err != nil {
+			return fmt.Errorf("agent checks: %w", err)
 		}
-		f, err := check.listen(check.addr, c, cfg.Limits)
+		fronts = append(fronts, f)
+	}
+	if cfg.Ops != "" {
+		f, err := ops.Listen(cfg.Ops, c, cfg.Limits)
 		if err != nil {
-			return fmt.Errorf("health checks: %w", err)
+			return fmt.Errorf("operators' address: %w", err)
 		}
 		fronts = append(fronts, f)
 	}
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -18,6 +18,7 @@
 	Post(f func())
 	Permit(a *core.Attempt) (brain.Status, brain.Note)
 	End(a *core.Attempt, e core.End)
+	Dispatched()
 }
 
 // Client implements core.Upstream. All its methods belong to the core's goroutine.
@@ -209,7 +210,9 @@
 	cl.at[a] = c
 	if err != nil {
 		c.lost()
+		return
 	}
+	cl.core.Dispatched()
 }
 
 // again sends an attempt whose connection broke before it was written whole. Connections that were idle, or
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -18,20 +18,23 @@
 
 // bench is a client with a core that only notes ends, and a page cache that the test plays.
 type bench struct {
-	t      *testing.T
-	posts  chan func()
-	ends   chan core.End
-	permit brain.Status
-	now    atomic.Int64
-	cl     *Client
-	ln     net.Listener
-	node   *core.Member
+	t          *testing.T
+	posts      chan func()
+	ends       chan core.End
+	permit     brain.Status
+	now        atomic.Int64
+	dispatched atomic.Int64
+	cl         *Client
+	ln         net.Listener
+	node       *core.Member
 }
 
 func (b *bench) Post(f func())                                   { b.posts <- f }
 func (b *bench) Permit(*core.Attempt) (brain.Status, brain.Note) { return b.permit, brain.NoNote }
 func (b *bench) End(_ *core.Attempt, e core.End)                 { b.ends <- e }
 
+func (b *bench) Dispatched() { b.dispatched.Add(1) }
+
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,6 +122,10 @@
 	b.send("t1")
 	nc, r := b.accept()
 	b.expect(r, "ASK t1 kind=c,obj=0a,seg=0,")
+	b.do(func() {}) // the write is over
+	if n := b.dispatched.Load(); n != 1 {
+		t.Errorf("%d attempts counted as written", n)
+	}
 	fmt.Fprint(nc, "t1 DONE res=cached 5\r\nhe")
 	fmt.Fprint(nc, "llo\r\n")
 	if e := b.ended(brain.OK); string(e.Body) != "hello" || e.Note != brain.Hit {
@@ -171,6 +178,9 @@
 	b.permit = brain.ConnectFailed
 	b.send("t1")
 	b.ended(brain.ConnectFailed)
+	if n := b.dispatched.Load(); n != 0 {
+		t.Errorf("%d attempts counted as written", n)
+	}
 	b.do(func() { b.permit = brain.OK })
 	b.send("t2")
 	_, r := b.accept()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,15 +19,16 @@
 
 // Config is what a router is told at its start.
 type Config struct {
-	Name     string
-	Listen   string
-	Journal  string
-	Known    fields.Object // the journal's events of the start
-	Settings brain.Settings
-	Limits   Limits
-	DNS      DNS
-	Agent    string // where HAProxy's agent checks are answered; empty: nowhere
-	Health   string // where HTTP health checks are answered; empty: nowhere
+	Name      string
+	Listen    string
+	Inherited int // descriptor of a socket that listens for clients already; 0: there is none
+	Journal   string
+	Known     fields.Object // the journal's events of the start
+	Settings  brain.Settings
+	Limits    Limits
+	DNS       DNS
+	Agent     string // where HAProxy's agent checks are answered; empty: nowhere
+	Ops       string // where operators call; empty: nowhere
 }
 
 // DNS sets up the DNS front.
@@ -57,9 +59,32 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if err := c.environment(os.Getenv); err != nil {
+		return nil, fmt.Errorf("environment: %w", err)
+	}
 	return c, nil
 }
 
+// environment takes what the platform tells a process by its environment.
+func (c *Config) environment(get func(string) string) error {
+	if c.Ops == "" {
+		c.Ops = get("RELAY_OPS")
+	}
+	if c.Ops != "" {
+		if _, err := netip.ParseAddrPort(c.Ops); err != nil {
+			return fmt.Errorf("RELAY_OPS %q is no address with a port", c.Ops)
+		}
+	}
+	if text := get("RELAY_SOCKET_FD"); text != "" {
+		fd, err := strconv.Atoi(text)
+		if err != nil || fd < 3 {
+			return fmt.Errorf("RELAY_SOCKET_FD %q is no descriptor that can be inherited", text)
+		}
+		c.Inherited = fd
+	}
+	return nil
+}
+
 // Parse reads the configuration from JSON text, with the keys of a second text, which may be empty, over it.
 func Parse(text, operator []byte) (*Config, error) {
 	v, err := fastjson.ParseBytes(text)
@@ -83,7 +108,10 @@
 		Name: o.Text("name", "hillknot"), Listen: address(o, "listen"), Journal: address(o, "journal"),
 		Known: o.Object("known"), Settings: settings.Read(o.Object("settings")),
 		Limits: limits(o),
-		DNS:    readDNS(o), Agent: address(o.Object("agent_check"), "listen"), Health: address(o.Object("health"), "listen"),
+		DNS:    readDNS(o), Agent: address(o.Object("agent_check"), "listen"), Ops: address(o, "ops"),
+	}
+	if o.Has("health") {
+		o.Fail("health", "is no key any more: GET /status at the address under ops answers health checks")
 	}
 	for _, k := range c.Settings.Classes {
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
@@ -190,10 +218,13 @@
 		JournalRetry: 25 * ms, JournalRetryMost: 200 * ms,
 
 		Resolves: 1024, CheckConns: 8,
+		OpsConns: 16, OpsHead: 8 << 10, OpsBody: 8 << 10,
 
 		Linger: 700 * ms,
 		Finish: 5500 * ms,
 
+		LeaveBehind: 400 * ms, LeaveIdle: 600 * ms, LeavePause: 100 * ms, LeaveRefuse: 2 * time.Second, LeaveCut: 3300 * ms,
+
 		// Clients close a connection that was idle for 4 s. Ours come later, so that a request seldom crosses them.
 		Client: Conn{Pending: 8 << 20, Read: 1500 * ms, Whole: 1500 * ms, Write: 5 * time.Second, Idle: 5 * time.Second,
 			Silent: 1500 * ms},
@@ -203,11 +234,13 @@
 			Silent: 2 * time.Second},
 		Check: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 5 * time.Second,
 			Silent: 2 * time.Second},
+		Ops: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: time.Second,
+			Silent: time.Second},
 		Journal: Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
 	}
 	// Clients hold up to a third of the descriptors. Some more are for strangers and for connections that are on
 	// their way out; caches have their own, and the listeners, the journal and the poller what is left.
-	l.ClientConns, l.CacheConns, l.DNSConns = l.Sockets*7/16, l.Sockets*5/16, l.Sockets/16
+	l.ClientConns, l.CacheConns, l.DNSConns = l.Sockets*7/16, l.Sockets*5/16, l.Sockets/32
 	// Objects as they come in and go out may take a part of the memory; the rest is left to all else. What an
 	// open request holds beside them is small.
 	l.HeldBytes = l.MemoryMB << 20 / 3
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.DNS.Listen != "127.0.0.1:7053" || c.Agent == "" || c.Health == "" || c.Limits.Longest.Seconds() != 5 {
+	if c.DNS.Listen != "127.0.0.1:7053" || c.Agent == "" || c.Ops == "" || c.Limits.Longest.Seconds() != 5 {
 		t.Errorf("configuration %+v", c)
 	}
 	if text, err := os.ReadFile("../../deploy/balancer.toml"); err != nil || strings.Contains(string(text), "operator") {
@@ -39,11 +39,11 @@
 			t.Fatal(err)
 		}
 		l := c.Limits
-		if all := l.ClientConns*9/8 + l.CacheConns + l.DNSConns + 2*l.CheckConns; l.ClientConns < sockets/3 || all > sockets-8 {
+		if all := l.ClientConns*9/8 + 4 + l.CacheConns + l.DNSConns + l.CheckConns + l.OpsConns*9/8 + 4; l.ClientConns < sockets/3 || all > sockets-8 {
 			t.Errorf("%d descriptors: %d in all, %d for clients", sockets, all, l.ClientConns)
 		}
 	}
-	if c.DNS.Listen != "" || c.Agent != "" || c.Health != "" {
+	if c.DNS.Listen != "" || c.Agent != "" || c.Ops != "" {
 		t.Errorf("fronts are on that nobody set up: %+v", c)
 	}
 }
@@ -57,6 +57,7 @@
 		base + `,"dns":{"listen":"127.0.0.1:3"}}`:                          `"dns.names"`,
 		base + `,"dns":{"listen":"127.0.0.1:3","names":["a..b"]}}`:         `"dns.names"`,
 		base + `,"dns":{"listen":"127.0.0.1:3","names":["a"],"ttl_s":0}}`:  `"dns.ttl_s"`,
+		base + `,"health":{"listen":"127.0.0.1:3"}}`:                       `"health"`,
 		strings.Replace(base, `"dcs":["e"]`, `"dcs":"e"`, 1) + `}`:         `"settings.dcs"`,
 		strings.Replace(base, `3000000`, `-1`, 1) + `}`:                    `"settings.profiles[0].deadlineUs"`,
 		strings.Replace(base, `"locality":"e"`, `"locality":"x"`, 1) + `}`: `"settings"`,
@@ -65,7 +66,7 @@
 			t.Errorf("%s: error %v, want %s named", text, err, want)
 		}
 	}
-	if _, err := Parse([]byte(base+"}"), []byte(`{"health":{"listen":7}}`)); err == nil || !strings.Contains(err.Error(), "health.listen") {
+	if _, err := Parse([]byte(base+"}"), []byte(`{"ops":"here"}`)); err == nil || !strings.Contains(err.Error(), `"ops"`) {
 		t.Errorf("operator's file: %v", err)
 	}
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -31,11 +31,20 @@
 	JournalRetryMost time.Duration // and where nothing comes of them
 	Resolves         int           // DNS queries open at a time
 	DNSConns         int           // connections of resolvers over TCP
-	CheckConns       int           // connections of health checks
+	CheckConns       int           // connections of agent checks
+	OpsConns         int           // connections of operators
+	OpsHead, OpsBody int           // bytes of the head of an operator's call, and of its body
 	Linger           time.Duration // how long a router that is to end still takes requests
 	Finish           time.Duration // and how long it has in all to answer what is open
 
-	Client, Upstream, Journal, DNS, Check Conn
+	// A router that leaves its clients does so in stages, each so long after the start.
+	LeaveBehind time.Duration // connections close behind an answer; the front has stopped sending by then
+	LeaveIdle   time.Duration // those that idle for LeavePause close
+	LeavePause  time.Duration
+	LeaveRefuse time.Duration // nothing new is taken
+	LeaveCut    time.Duration // whatever owes nothing closes
+
+	Client, Upstream, Journal, DNS, Check, Ops Conn
 }
 
 // Conn bounds the reads and writes of one connection.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -119,7 +119,15 @@
 	queries  map[brain.RequestID]*query
 	timers   timers
 	listed   bool
+	standby  bool
 	stopping bool
+	left     time.Duration // when it began to leave its clients
+	maxWait  time.Duration // the longest that a refused client may be told to stay away
+
+	classes    map[string]int // places in tallies
+	tallies    []Tally
+	dispatches uint64
+	snap       atomic.Pointer[Snapshot]
 }
 
 // New returns a core round a module with these settings. The clock counts from the Unix epoch.
@@ -130,11 +138,15 @@
 	}
 	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{},
 		open: map[brain.RequestID]*request{}, txns: map[string]bool{}, members: map[brain.NodeID]*Member{},
-		queries: map[brain.RequestID]*query{}}
-	for _, k := range s.Classes {
+		queries: map[brain.RequestID]*query{}, classes: map[string]int{}, maxWait: s.MaxWait}
+	for i, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
+		c.classes[k.Name] = i
+		c.tallies = append(c.tallies, Tally{Class: k.Name})
 	}
+	c.tallies = append(c.tallies, Tally{Class: Unknown})
 	c.now = clock()
+	c.publish()
 	return c, nil
 }
 
@@ -186,6 +198,7 @@
 		c.due(heap.Pop(&c.timers).(timer))
 	}
 	c.settle()
+	c.publish()
 	if len(c.timers) == 0 {
 		return 0, false
 	}
@@ -228,31 +241,21 @@
 
 // ---- Requests ----
 
-// Ready tells whether requests can be routed: the list of members is known.
-func (c *Core) Ready() bool { return c.listed }
-
-// Stopping tells whether the router is on its way out.
-func (c *Core) Stopping() bool { return c.stopping }
-
-// Stop marks the router as on its way out; it goes on answering.
-func (c *Core) Stop() { c.stopping = true }
-
 // Open is how many requests and queries are owed an answer.
 func (c *Core) Open() int { return len(c.open) + len(c.queries) }
 
 // Submit takes a request. Its answer is owed from now on.
 func (c *Core) Submit(id brain.RequestID, q Request) {
-	if len(c.open) >= c.lim.Open {
-		q.Reply(Answer{Verdict: Refused})
-		return
-	}
 	left := min(q.Limit, c.lim.Longest) - c.lim.Margin
-	if left <= 0 {
-		q.Reply(Answer{Verdict: Refused})
+	switch {
+	case len(c.open) >= c.lim.Open || c.Leaving() >= Refuse:
+		c.reply(&q, Answer{Verdict: Refused, Wait: c.maxWait})
 		return
-	}
-	if c.txns[q.Txn] { // page caches know a request by this id: two under one could not be told apart
-		q.Reply(Answer{Verdict: Failed, Reason: "BadRequest"})
+	case left <= 0:
+		c.reply(&q, Answer{Verdict: Refused})
+		return
+	case c.txns[q.Txn]: // page caches know a request by this id: two under one could not be told apart
+		c.reply(&q, Answer{Verdict: Failed, Reason: "BadRequest"})
 		return
 	}
 	r := &request{Request: q, id: id, end: c.now + left}
@@ -295,7 +298,13 @@
 		c.up.Quit(at)
 		c.End(at, End{Status: brain.Cancelled})
 	}
-	r.Reply(a)
+	c.reply(&r.Request, a)
+}
+
+// reply gives the one answer to a request, and counts it.
+func (c *Core) reply(q *Request, a Answer) {
+	c.Count(q.Class, a.Verdict)
+	q.Reply(a)
 }
 
 // ---- Attempts ----
@@ -358,9 +367,9 @@
 	if e.Status == brain.OK && c.open[r.id] == r {
 		c.forget(r)
 		if e.Unchanged {
-			r.Reply(Answer{Verdict: Unchanged})
+			c.reply(&r.Request, Answer{Verdict: Unchanged})
 		} else {
-			r.Reply(Answer{Verdict: Served, Body: e.Body})
+			c.reply(&r.Request, Answer{Verdict: Served, Body: e.Body})
 		}
 	}
 	c.outcome(a, e)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -236,3 +236,90 @@
 		t.Errorf("%d attempts are out, answers %+v; want the request sent", len(r.out), r.answers)
 	}
 }
+
+// Each answer counts once, by whoever it was worded; what was taken back counts nowhere.
+func TestFigures(t *testing.T) {
+	r := newRig(t)
+	for range 3 {
+		r.submit("page", 3*second)
+	}
+	if s := r.c.Snapshot(); s.Open != 3 || s.Targets != 2 || s.Avoided != 0 {
+		t.Errorf("three are open, two page caches are well: %+v", s)
+	}
+	r.end(r.out[0], End{Status: brain.OK})
+	id := r.submit("page", 3*second)
+	r.c.Withdraw(id)
+	r.submit("order", second)
+	r.submit("page", time.Millisecond) // less time than the margin: refused at once
+	r.c.Count("what", Failed)
+	r.wait(4 * second) // the rest gets no answer from its page cache
+	s := r.c.Snapshot()
+	if p, o, u := s.Tallies[0], s.Tallies[1], s.Tallies[2]; p != (Tally{"page", 1, 3, 0}) || o != (Tally{"order", 0, 0, 1}) || u != (Tally{Unknown, 0, 0, 1}) {
+		t.Errorf("tallies %+v", s.Tallies)
+	}
+	if s.Open != 0 {
+		t.Errorf("%d are open", s.Open)
+	}
+}
+
+// What drains, and what fails all that it is asked, is told as avoided; once it is well again it is not.
+func TestAvoided(t *testing.T) {
+	r := newRig(t)
+	r.c.Members(false, []Host{{ID: "a", Addr: "127.1.0.1:1", Kind: "box", Zone: "edge", State: brain.Draining}})
+	r.c.Turn()
+	if s := r.c.Snapshot(); s.Targets != 2 || s.Avoided != 1 {
+		t.Errorf("one drains: %d of %d are avoided", s.Avoided, s.Targets)
+	}
+	for range 3 {
+		r.submit("page", second)
+		for len(r.out) > 0 {
+			r.end(r.out[0], End{Status: brain.Error})
+		}
+	}
+	if s := r.c.Snapshot(); s.Avoided != 2 {
+		t.Errorf("the other fails: %d are avoided", s.Avoided)
+	}
+	r.wait(2 * second)
+	r.submit("page", second)
+	r.end(r.out[0], End{Status: brain.OK, Note: brain.Hit})
+	if s := r.c.Snapshot(); s.Avoided != 1 {
+		t.Errorf("the other is well again: %d are avoided", s.Avoided)
+	}
+}
+
+// Standby: what comes while the front still sends is served, then connections close, and in the end nothing new
+// is taken. Active undoes it at any point; a router that ends does not come back.
+func TestStandby(t *testing.T) {
+	r := newRig(t)
+	r.c.lim.LeaveBehind, r.c.lim.LeaveIdle, r.c.lim.LeaveRefuse, r.c.lim.LeaveCut = second/2, second, 2*second, 3*second
+	r.c.Standby()
+	r.c.Turn()
+	if r.c.Snapshot().Phase != Standby || r.c.Leaving() != Stay {
+		t.Errorf("phase %v, leaving %d", r.c.Snapshot().Phase, r.c.Leaving())
+	}
+	r.submit("page", second)
+	r.end(r.out[0], End{Status: brain.OK})
+	r.one("on standby", Served)
+	for _, want := range []Leave{Behind, Idle, Idle, Refuse, Refuse, Cut} {
+		if r.wait(second / 2); r.c.Leaving() != want {
+			t.Errorf("after %v: leaving %d, want %d", r.now-r.c.left, r.c.Leaving(), want)
+		}
+	}
+	r.c.maxWait = second
+	r.submit("page", second)
+	if a := r.answers[1]; a.Verdict != Refused || a.Wait != second || len(r.out) != 0 {
+		t.Errorf("at the end: %+v, %d attempts; want a refusal that says when to come back", a, len(r.out))
+	}
+	if !r.c.Active() {
+		t.Error("not active again")
+	}
+	r.c.Turn()
+	if r.submit("page", second); r.c.Snapshot().Phase != Serving || r.c.Leaving() != Stay || len(r.out) != 1 {
+		t.Errorf("active again: phase %v, leaving %d, %d attempts", r.c.Snapshot().Phase, r.c.Leaving(), len(r.out))
+	}
+	r.c.Stop()
+	r.c.Standby()
+	if r.c.Active() || r.c.phase() != Ending {
+		t.Errorf("phase %v; a router that ends goes on with that", r.c.phase())
+	}
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,132 @@
+package core
+
+import "time"
+
+// Phase is what the router as a whole is doing. All fronts tell the same one.
+type Phase uint8
+
+// The phases.
+const (
+	Starting Phase = iota // the list of members is not known yet
+	Serving
+	Standby // emptied on the operators' word
+	Ending
+)
+
+func (p Phase) String() string { return [...]string{"starting", "serving", "standby", "ending"}[p] }
+
+// Tally counts the requests of one class by how they were answered.
+type Tally struct {
+	Class                    string
+	Success, Overload, Error uint64
+}
+
+// Snapshot is the router as its loop last left it. It is not changed once it is published.
+type Snapshot struct {
+	Phase      Phase
+	Since      time.Duration // when it began to leave its clients: on standby or as it ends
+	Tallies    []Tally       // by class, as the settings list them; last, what no class was named for
+	Dispatches uint64        // attempts written whole
+	Open       int           // requests taken and not ended
+	Targets    int           // page caches listed
+	Avoided    int           // of these, those that the module avoids
+}
+
+// Unknown is the class under which requests count that name none of the settings.
+const Unknown = "unknown"
+
+// Snapshot returns the latest snapshot. It may be called anywhere, and waits for nothing.
+func (c *Core) Snapshot() *Snapshot { return c.snap.Load() }
+
+// publish makes what the loop has done seen outside.
+func (c *Core) publish() {
+	s := &Snapshot{Phase: c.phase(), Since: c.left, Tallies: append([]Tally(nil), c.tallies...), Dispatches: c.dispatches,
+		Open: len(c.open)}
+	s.Targets, s.Avoided = c.brain.Targets()
+	c.snap.Store(s)
+}
+
+func (c *Core) phase() Phase {
+	switch {
+	case c.stopping:
+		return Ending
+	case c.standby:
+		return Standby
+	case c.listed:
+		return Serving
+	}
+	return Starting
+}
+
+// Count counts an answer. The core counts those that it gives; a front, those that it words by itself.
+func (c *Core) Count(class string, v Verdict) {
+	i, ok := c.classes[class]
+	if !ok {
+		i = len(c.tallies) - 1
+	}
+	switch t := &c.tallies[i]; v {
+	case Served, Unchanged:
+		t.Success++
+	case Refused:
+		t.Overload++
+	default:
+		t.Error++
+	}
+}
+
+// Dispatched counts an attempt that was written whole.
+func (c *Core) Dispatched() { c.dispatches++ }
+
+// Standby empties the router: it goes on answering while it leaves its clients.
+func (c *Core) Standby() {
+	if !c.standby && !c.stopping {
+		c.standby, c.left = true, c.now
+	}
+}
+
+// Active has the router take clients again. It tells whether it does: one that ends does not.
+func (c *Core) Active() bool {
+	if c.stopping {
+		return false
+	}
+	c.standby, c.left = false, 0
+	return true
+}
+
+// Stop marks the router as on its way out; it goes on answering.
+func (c *Core) Stop() {
+	c.stopping = true
+	c.left = c.now
+}
+
+// Leave is how far the router has got in leaving its clients.
+type Leave uint8
+
+// The stages of leaving.
+const (
+	Stay   Leave = iota
+	Behind       // connections close right behind the answer after which they owe nothing
+	Idle         // so do those that idle
+	Refuse       // nothing new is taken
+	Cut          // no connection that owes nothing stays
+)
+
+// Leaving tells how far the router has got in leaving its clients. It may be called anywhere. One that ends with
+// nobody to follow it keeps its connections up to its end: there is nobody else to call.
+func (c *Core) Leaving() Leave {
+	s := c.snap.Load()
+	if s.Phase != Standby {
+		return Stay
+	}
+	switch gone := c.clock() - s.Since; {
+	case gone >= c.lim.LeaveCut:
+		return Cut
+	case gone >= c.lim.LeaveRefuse:
+		return Refuse
+	case gone >= c.lim.LeaveIdle:
+		return Idle
+	case gone >= c.lim.LeaveBehind:
+		return Behind
+	}
+	return Stay
+}
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -14,14 +14,15 @@
 	"hillknot/internal/netio"
 )
 
-// Core is what the front submits to. Its methods but Post and NewID are called on the core's goroutine.
+// Core is what the front submits to. Its methods Submit, Withdraw and Count are called on the core's goroutine.
 type Core interface {
 	Post(f func())
 	NewID() brain.RequestID
 	Submit(id brain.RequestID, q core.Request)
 	Withdraw(id brain.RequestID)
-	Ready() bool
-	Stopping() bool
+	Count(class string, v core.Verdict)
+	Snapshot() *core.Snapshot
+	Leaving() core.Leave
 }
 
 // Front serves clients on one address.
@@ -33,17 +34,39 @@
 	srv     *netio.Server
 }
 
-// Listen opens the listener. The budget bounds the answers that wait for slow clients, all together.
-func Listen(addr string, c Core, lim config.Limits, classes []brain.Class, budget *netio.Budget) (*Front, error) {
+// Listen opens the listener, or takes the one that the process inherited under a descriptor above 0. The budget
+// bounds the answers that wait for slow clients, all together.
+func Listen(addr string, inherited int, c Core, lim config.Limits, classes []brain.Class, budget *netio.Budget) (*Front, error) {
 	f := &Front{core: c, lim: lim, classes: map[string]brain.Class{}, budget: budget}
 	for _, k := range classes {
 		f.classes[k.Name] = k
 	}
+	handler := func(nc *netio.Conn) netio.Handler { return &conn{f: f, nc: nc, open: map[uint64]brain.RequestID{}} }
 	var err error
-	f.srv, err = netio.Listen(addr, lim.ClientConns, lim.Client, budget, func(nc *netio.Conn) netio.Handler {
-		return &conn{f: f, nc: nc, open: map[uint64]brain.RequestID{}}
-	})
-	return f, err
+	if inherited > 0 {
+		f.srv, err = netio.Inherit(inherited, lim.ClientConns, lim.Client, budget, handler)
+	} else {
+		f.srv, err = netio.Listen(addr, lim.ClientConns, lim.Client, budget, handler)
+	}
+	if err != nil {
+		return nil, err
+	}
+	f.srv.Patience = f.patience
+	return f, nil
+}
+
+// patience is how long clients may hold connections that owe nothing. One that leaves its clients waits for a
+// request that is being written, but not up to the moment at which the front takes it to be empty.
+func (f *Front) patience() (idle, half time.Duration) {
+	switch f.core.Leaving() {
+	case core.Idle:
+		return f.lim.LeavePause, f.lim.Client.Whole
+	case core.Refuse:
+		return 0, f.lim.Client.Whole
+	case core.Cut:
+		return 0, 0
+	}
+	return f.lim.Client.Idle, f.lim.Client.Whole
 }
 
 // Addr is the address listened on.
@@ -96,7 +119,7 @@
 		}
 	case string(m.method) == "health":
 		c.nc.Owe(1)
-		c.f.core.Post(func() { c.send(appendHealth(nil, m.id, c.f.core.Ready() && !c.f.core.Stopping())) })
+		c.f.core.Post(func() { c.send(appendHealth(nil, m.id, c.f.core.Snapshot().Phase == core.Serving)) })
 	default:
 		c.nc.Owe(1)
 		q, word := c.request(m)
@@ -110,6 +133,7 @@
 	if !ok {
 		return q, "NoSuchMethod"
 	}
+	q.Class = class.Name
 	f := m.fields
 	limit, limitOK := number(f.limit, 31)
 	object, objectOK := hexID(f.item)
@@ -166,8 +190,10 @@
 			c.nc.Close()
 			return
 		}
+		c.f.core.Count(q.Class, core.Failed)
 		c.send(appendError(nil, msg, word, "", ""))
 	case len(c.open) >= c.f.lim.OpenPerConn || c.f.budget.Full():
+		c.f.core.Count(q.Class, core.Refused)
 		c.send(appendError(nil, msg, "Throttled", "", ""))
 	default:
 		id := c.f.core.NewID()
@@ -192,10 +218,14 @@
 
 // send sends the answer to one call.
 func (c *conn) send(b []byte) {
-	defer c.nc.Owe(-1)
-	if err := c.nc.Send(b); err != nil {
+	err := c.nc.Send(b)
+	if err != nil {
 		slog.Debug("answer not sent", "remote", c.nc.Remote(), "err", err)
 	}
+	c.nc.Owe(-1)
+	if err == nil && c.f.core.Leaving() >= core.Behind {
+		c.nc.Leave()
+	}
 }
 
 func appendAnswer(b []byte, id uint64, a core.Answer) []byte {
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"maps"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,14 +22,18 @@
 	got      chan core.Request
 	withdrew chan brain.RequestID
 	ids      brain.RequestID
+	counted  atomic.Int64 // answers that the front worded
+	phase    atomic.Int64
+	leave    atomic.Int64
 }
 
 func (d *desk) Post(f func())                            { d.posts <- f }
 func (d *desk) NewID() brain.RequestID                   { d.ids++; return d.ids }
 func (d *desk) Submit(_ brain.RequestID, q core.Request) { d.got <- q }
 func (d *desk) Withdraw(id brain.RequestID)              { d.withdrew <- id }
-func (d *desk) Ready() bool                              { return true }
-func (d *desk) Stopping() bool                           { return false }
+func (d *desk) Count(string, core.Verdict)               { d.counted.Add(1) }
+func (d *desk) Snapshot() *core.Snapshot                 { return &core.Snapshot{Phase: core.Phase(d.phase.Load())} }
+func (d *desk) Leaving() core.Leave                      { return core.Leave(d.leave.Load()) }
 
 type client struct {
 	t   *testing.T
@@ -39,9 +44,10 @@
 func open(t *testing.T) (*desk, func() *client) {
 	t.Helper()
 	d := &desk{posts: make(chan func(), 100), got: make(chan core.Request, 100), withdrew: make(chan brain.RequestID, 100)}
+	d.phase.Store(int64(core.Serving))
 	lim := config.Limits{ClientConns: 10, OpenPerConn: 2, Message: 1 << 16, WriteBody: 1 << 10, Faults: 2,
-		Client: config.Conn{Pending: 1 << 20, Read: time.Minute, Write: time.Minute, Idle: time.Minute, Silent: time.Minute}}
-	f, err := Listen("127.0.0.1:0", d, lim, []brain.Class{{Name: "page", Deadline: 3 * time.Second}}, &netio.Budget{Max: 1 << 22})
+		Client: config.Conn{Pending: 1 << 20, Read: time.Minute, Write: time.Minute, Idle: time.Minute, Silent: 10 * time.Second}}
+	f, err := Listen("127.0.0.1:0", 0, d, lim, []brain.Class{{Name: "page", Deadline: 3 * time.Second}}, &netio.Budget{Max: 1 << 22})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,3 +206,53 @@
 		t.Errorf("%d requests were passed on", len(d.got))
 	}
 }
+
+// A router that leaves its clients says that it is not ready, and closes a connection right behind the answer after
+// which it owes nothing, and what idles.
+func TestLeaving(t *testing.T) {
+	d, dial := open(t)
+	c, idle, other := dial(), dial(), dial()
+	other.call(1, "page") // owes an answer, and so stays
+	q := <-d.got
+	idle.send(0, 1, "health", []any{map[string]string{}})
+	if _, _, res := idle.answer(1); res.([]any)[0] != true {
+		t.Errorf("health: %v", res)
+	}
+	c.call(1, "page")
+	c.call(2, "page")
+	first, second := <-d.got, <-d.got
+	d.phase.Store(int64(core.Standby))
+	d.leave.Store(int64(core.Behind))
+	d.Post(func() { first.Reply(core.Answer{Verdict: core.Served}) })
+	c.answer(1)
+	c.send(0, 3, "health", []any{map[string]string{}})
+	if _, _, res := c.answer(3); res.([]any)[0] != false {
+		t.Errorf("health while leaving: %v", res)
+	}
+	d.Post(func() { second.Reply(core.Answer{Verdict: core.Served}) })
+	c.answer(2)
+	if _, err := c.dec.DecodeSlice(); err != io.EOF {
+		t.Errorf("after the last answer: %v, want the end", err)
+	}
+	d.leave.Store(int64(core.Cut))
+	if _, err := idle.dec.DecodeSlice(); err != io.EOF {
+		t.Errorf("idle: %v, want the end", err)
+	}
+	d.Post(func() { q.Reply(core.Answer{Verdict: core.Served}) })
+	other.answer(1)
+}
+
+// Refusals and errors that the front words by itself count, each once.
+func TestCounted(t *testing.T) {
+	d, dial := open(t)
+	c := dial()
+	c.send(0, 1, "what", []any{map[string]string{}})
+	c.answer(1)
+	for id := 2; id <= 4; id++ {
+		c.call(id, "page")
+	}
+	c.answer(4)
+	if n := d.counted.Load(); n != 2 {
+		t.Errorf("%d answers counted, want the error and the refusal", n)
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,9 @@
 	used atomic.Int64
 }
 
+// NewBudget returns a budget of so many bytes.
+func NewBudget(max int) *Budget { return &Budget{Max: int64(max)} }
+
 // Full tells whether so much is held that nothing new should be taken. Up to Max, what has been taken can
 // still be finished.
 func (b *Budget) Full() bool { return b.used.Load() >= b.Max/4*3 }
@@ -74,6 +78,7 @@
 	close   sync.Once
 	active  atomic.Int64 // Unix time in nanoseconds when bytes last came or went
 	spoke   atomic.Bool  // a whole message has come
+	half    atomic.Int64 // Unix time in nanoseconds when a message began that is not whole yet; 0: there is none
 	owed    atomic.Int32 // answers that the handler has yet to give
 	evicted bool         // to make room; belongs to the server
 
@@ -100,6 +105,13 @@
 	return time.Duration(now.UnixNano() - c.active.Load()), c.pending == 0 && c.owed.Load() == 0
 }
 
+// Leave closes the connection behind what was sent, unless more is owed on it or something is coming in.
+func (c *Conn) Leave() {
+	if c.owed.Load() == 0 && c.half.Load() == 0 {
+		c.finish()
+	}
+}
+
 // Remote is the peer's address.
 func (c *Conn) Remote() net.Addr { return c.nc.RemoteAddr() }
 
@@ -158,14 +170,16 @@
 			_ = r.Release() // fails only after a close, which the next Peek tells
 		}
 		if rest == 0 && more <= 1 && r.Len() == 0 {
+			c.half.Store(0)
 			_ = nc.SetReadTimeout(c.lim.Read)
 			return nil
 		}
 		want = max(more, rest+1)
+		if now := time.Now(); used > 0 || due.IsZero() {
+			due = now.Add(c.lim.Whole)
+			c.half.Store(now.UnixNano())
+		}
 		if c.lim.Whole > 0 { // a peer that sends byte by byte must not hold a message open for good
-			if used > 0 || due.IsZero() {
-				due = time.Now().Add(c.lim.Whole)
-			}
 			_ = nc.SetReadTimeout(max(min(c.lim.Read, time.Until(due)), time.Millisecond))
 		}
 	}
@@ -213,6 +227,11 @@
 	if err := c.Send(b); err != nil {
 		return // closed, or about to be
 	}
+	c.finish()
+}
+
+// finish closes the connection once all is written.
+func (c *Conn) finish() {
 	c.mu.Lock()
 	c.last = true
 	done := !c.writing
@@ -310,7 +329,7 @@
 
 // Server accepts connections on one listener.
 type Server struct {
-	ln    netpoll.Listener
+	ln    *gate
 	loop  netpoll.EventLoop
 	lim   config.Conn
 	max   int64
@@ -319,6 +338,10 @@
 	h     func(*Conn) Handler
 	conns sync.Map
 	done  chan struct{}
+
+	// Patience, if set before Serve, is asked how long connections that owe nothing may stay now: those on which
+	// nothing moves, and those that are in the middle of a message.
+	Patience func() (idle, half time.Duration)
 }
 
 type connKey struct{}
@@ -326,26 +349,71 @@
 // Listen opens the listener. At most max connections are open at a time: a new one takes the place of one that
 // owes nothing, and is closed at once where there is none.
 func Listen(addr string, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{ln: ln, lim: lim, max: int64(max), bud: budget, h: h, done: make(chan struct{})}
-	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare), netpoll.WithOnConnect(s.opened))
+	return serve(ln, max, lim, budget, h)
+}
+
+// Inherit is Listen on a socket that this process was given and that listens already. Others may have it too: it
+// is closed here, but never shut down.
+func Inherit(fd int, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
+	f := os.NewFile(uintptr(fd), "inherited listener")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, os.ErrInvalid)
+	}
+	ln, err := net.FileListener(f) // has a descriptor of its own
+	_ = f.Close()                  // ours is of no more use, whether that went well or not
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	return serve(ln, max, lim, budget, h)
+}
+
+func serve(ln net.Listener, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
+	nl, err := netpoll.ConvertListener(ln)
 	if err != nil {
 		_ = ln.Close() // the first error is the one to report
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	s := &Server{ln: &gate{Listener: nl}, lim: lim, max: int64(max), bud: budget, h: h, done: make(chan struct{})}
+	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare), netpoll.WithOnConnect(s.opened))
+	if err != nil {
+		_ = nl.Close()
+		return nil, fmt.Errorf("listen: %w", err)
+	}
 	return s, nil
 }
 
+// gate is a listener that can stop accepting and leave alone what it has accepted. What still arrives waits for
+// the others who have the socket: netpoll takes a listener off its poller at an error that says "closed".
+type gate struct {
+	netpoll.Listener
+	shut atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (g *gate) Accept() (net.Conn, error) {
+	if g.shut.Load() {
+		return nil, net.ErrClosed
+	}
+	return g.Listener.Accept()
+}
+
+// StopAccepting leaves new connections to others who have the same socket; what is open goes on.
+func (s *Server) StopAccepting() { s.ln.shut.Store(true) }
+
 // Addr is the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
 // Serve accepts until Close.
 func (s *Server) Serve() error {
 	go s.sweep()
-	return s.loop.Serve(s.ln)
+	if err := s.loop.Serve(s.ln); err != nil && !s.ln.shut.Load() {
+		return err
+	}
+	return nil
 }
 
 // sweep closes connections that owe nothing and on which nothing has moved for the idle time, or for the
@@ -359,10 +427,18 @@
 		case <-s.done:
 			return
 		case now := <-t.C:
+			most, half := s.lim.Idle, s.lim.Idle
+			if s.Patience != nil {
+				most, half = s.Patience()
+			}
 			s.conns.Range(func(k, _ any) bool {
 				c := k.(*Conn)
 				idle, ok := c.spare(now)
-				if ok && (idle > s.lim.Idle || idle > s.lim.Silent && !c.spoke.Load()) {
+				if began := c.half.Load(); began > 0 {
+					if ok && now.UnixNano()-began > int64(half) {
+						c.Close()
+					}
+				} else if ok && (idle > most || idle > s.lim.Silent && !c.spoke.Load()) {
 					c.Close()
 				}
 				return true
@@ -381,7 +457,8 @@
 }
 
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
-	if n := s.open.Add(1); n > s.max && (!s.evict() || n > s.max+s.max/8) {
+	// What gave way closes in its own time, a moment later: some places more are kept for that.
+	if n := s.open.Add(1); n > s.max && (!s.evict() || n > s.max+s.max/8+evictSlack) {
 		s.open.Add(-1)
 		return context.Background() // it is closed in opened: here netpoll has yet to set it up
 	}
@@ -396,6 +473,8 @@
 	return context.WithValue(context.Background(), connKey{}, c)
 }
 
+const evictSlack = 4
+
 // evict closes a connection that owes nothing to make room for a new one: the oldest that has said nothing
 // for some time, else the one that is idle longest. It guards against peers that connect by hundreds and hold
 // on, which would else keep all others out. It runs on the poller's goroutine alone.
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,156 @@
+// Package ops is the front for operators: HTTP/1.1 on an address of its own, one call to a connection. It tells
+// how the router is, shows its figures, and empties it.
+//
+// It reads what the core's loop has published, and so waits for nobody; only what changes the router's state
+// goes through the loop.
+package ops
+
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+	"hillknot/internal/netio"
+)
+
+// Core is what operators see and steer. Standby and Active are called on the core's goroutine.
+type Core interface {
+	Post(f func())
+	Snapshot() *core.Snapshot
+	Standby()
+	Active() bool
+}
+
+// Front answers operators on one address.
+type Front struct {
+	*netio.Server
+	core Core
+	lim  config.Limits
+}
+
+// Listen opens the listener. Its connections have places of their own: no load of clients takes them, and
+// callers that say nothing give way to new ones.
+func Listen(addr string, c Core, lim config.Limits) (*Front, error) {
+	f := &Front{core: c, lim: lim}
+	budget := netio.NewBudget(lim.OpsConns * (lim.OpsHead + lim.OpsBody + lim.Ops.Pending))
+	var err error
+	f.Server, err = netio.Listen(addr, lim.OpsConns, lim.Ops, budget, func(nc *netio.Conn) netio.Handler { return &conn{f: f, nc: nc} })
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+type conn struct {
+	f        *Front
+	nc       *netio.Conn
+	answered bool
+}
+
+// Take implements netio.Handler. A connection is answered once; what follows is of no matter.
+func (c *conn) Take(buf []byte) (used, want int, err error) {
+	if c.answered {
+		return len(buf), 0, nil
+	}
+	m, n, want, err := parse(buf, c.f.lim.OpsHead, c.f.lim.OpsBody)
+	if err == nil && n == 0 {
+		return 0, want, nil
+	}
+	c.answered = true
+	if err != nil {
+		slog.Debug("operator's call not understood", "remote", c.nc.Remote(), "err", err)
+		c.answer(false, "400 Bad Request", err.Error()+"\n", "")
+		return len(buf), 0, nil
+	}
+	c.serve(string(m.method), string(m.path))
+	return len(buf), 0, nil
+}
+
+// Closed implements netio.Handler.
+func (c *conn) Closed() {}
+
+func (c *conn) serve(method, path string) {
+	reads, ok := map[string]bool{"/status": true, "/status/metrics": true, "/standby": false, "/active": false}[path]
+	head := method == "HEAD"
+	switch {
+	case !ok:
+		c.answer(head, "404 Not Found", "no such page\n", "")
+	case reads && method != "GET" && !head:
+		c.answer(false, "405 Method Not Allowed", "GET or HEAD\n", "Allow: GET, HEAD\r\n")
+	case !reads && method != "POST":
+		c.answer(head, "405 Method Not Allowed", "POST\n", "Allow: POST\r\n")
+	case path == "/status":
+		c.status(head, c.f.core.Snapshot().Phase)
+	case path == "/status/metrics":
+		c.answer(head, "200 OK", string(appendFigures(nil, c.f.core.Snapshot())), "")
+	default:
+		c.steer(path == "/standby")
+	}
+}
+
+// status says yes while clients are taken.
+func (c *conn) status(head bool, p core.Phase) {
+	code := "503 Service Unavailable"
+	if p == core.Serving {
+		code = "200 OK"
+	}
+	c.answer(head, code, p.String()+"\n", "")
+}
+
+// steer empties the router, or has it take clients again, and says yes once that holds.
+func (c *conn) steer(standby bool) {
+	c.f.core.Post(func() {
+		if standby {
+			c.f.core.Standby()
+		} else if !c.f.core.Active() {
+			c.answer(false, "409 Conflict", core.Ending.String()+"\n", "")
+			return
+		}
+		slog.Info("operators' call", "standby", standby)
+		c.answer(false, "200 OK", "done\n", "")
+	})
+}
+
+func (c *conn) answer(head bool, status, body, extra string) {
+	b := fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\nCache-Control: no-store\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n",
+		status, extra, len(body))
+	if !head {
+		b = append(b, body...)
+	}
+	c.nc.Finish(b)
+}
+
+// appendFigures appends the figures in the text format of Prometheus.
+func appendFigures(b []byte, s *core.Snapshot) []byte {
+	for _, f := range []struct {
+		name, help string
+		of         func(core.Tally) uint64
+	}{
+		{"success", "Requests served.", func(t core.Tally) uint64 { return t.Success }},
+		{"overload", "Requests refused.", func(t core.Tally) uint64 { return t.Overload }},
+		{"error", "Requests failed.", func(t core.Tally) uint64 { return t.Error }},
+	} {
+		b = appendKind(b, f.name, f.help, "counter")
+		for _, t := range s.Tallies {
+			b = fmt.Appendf(b, "app_%s{type=%s} %d\n", f.name, strconv.Quote(t.Class), f.of(t))
+		}
+	}
+	for _, f := range []struct {
+		name, help, kind string
+		value            uint64
+	}{
+		{"dispatches", "Attempts written whole to page caches.", "counter", s.Dispatches},
+		{"concurrent", "Requests taken and not ended.", "gauge", uint64(s.Open)},
+		{"targets", "Page caches on the list.", "gauge", uint64(s.Targets)},
+		{"targets_disabled", "Page caches on the list that the router avoids.", "gauge", uint64(s.Avoided)},
+	} {
+		b = fmt.Appendf(appendKind(b, f.name, f.help, f.kind), "app_%s %d\n", f.name, f.value)
+	}
+	return b
+}
+
+func appendKind(b []byte, name, help, kind string) []byte {
+	return fmt.Appendf(b, "# HELP app_%s %s\n# TYPE app_%s %s\n", name, help, name, kind)
+}
