Replace a running process: the old one learns of its successor and leaves its clients

The answers before a fault that ends a connection are written first (TestOutOfRange failed now and then).

--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -20,6 +19,7 @@
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/dnsfront"
+	"hillknot/internal/handover"
 	"hillknot/internal/journal"
 	"hillknot/internal/msgrpc"
 	"hillknot/internal/netio"
@@ -32,15 +32,15 @@
 	flag.Parse()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	if err := run(*path, *operator, signals); err != nil {
+	if err := run(*path, *operator, signals, func() {}); err != nil {
 		slog.Error("hillknot ends", "err", err)
 		os.Exit(1)
 	}
 }
 
 // run serves until a signal to end comes and all that was taken is answered. On SIGHUP the configuration is
-// read again.
-func run(path, operator string, signals <-chan os.Signal) error {
+// read again. It calls serving once clients are taken.
+func run(path, operator string, signals <-chan os.Signal, serving func()) error {
 	if path == "" {
 		return errors.New("no configuration: give -config or RELAY_CONFIG")
 	}
@@ -49,7 +49,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 3 / 4)
 	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
 		return fmt.Errorf("configure netpoll: %w", err)
 	}
@@ -59,7 +58,8 @@
 		return err
 	}
 	budget := netio.NewBudget(cfg.Limits.HeldBytes)
-	c.Use(cachewire.New(c, cfg.Limits, budget, clock))
+	up := cachewire.New(c, cfg.Limits, budget, clock)
+	c.Use(up)
 	feed, err := journal.New(c, cfg.Journal, cfg.Limits, cfg.Known)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -68,7 +68,8 @@
 	if err != nil {
 		return err
 	}
-	fronts := []server{front}
+	defer front.Close()
+	var fronts []server
 	if cfg.DNS.Listen != "" {
 		f, err := dnsfront.Listen(c, cfg.DNS, cfg.Limits, budget)
 		if err != nil {
@@ -90,25 +91,51 @@
 		}
 		fronts = append(fronts, f)
 	}
-	stop, failed := make(chan struct{}), make(chan error, len(fronts))
+	r := &replacement{core: c, feed: feed, up: up, front: front, budget: budget, lim: cfg.Limits}
+	var before *handover.Predecessor
+	if cfg.Handover != "" {
+		before = handover.Find(cfg.Handover, cfg.Limits)
+	}
+	r.share(func() { r.before = before != nil })
+	stop, failed := make(chan struct{}), make(chan error, len(fronts)+1)
 	defer close(stop)
+	c.Hold(true)
 	go c.Run(stop)
 	go feed.Run(stop)
 	for _, f := range fronts {
 		defer f.Close()
 		go func() { failed <- f.Serve() }()
 	}
+	if before != nil {
+		defer before.Close()
+		r.follow(before)
+		go r.wait(before, stop)
+	}
+	go func() { failed <- front.Serve() }()
+	if cfg.Handover != "" {
+		g, err := handover.Give(cfg.Handover, r, cfg.Limits)
+		if err != nil { // serving comes first
+			slog.Error("this process can't be followed", "err", err)
+		} else {
+			defer g.Close()
+		}
+	}
+	c.Post(func() { c.Hold(false); serving() })
 	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
 	for {
 		select {
 		case err := <-failed:
+			if err == nil { // it no longer accepts
+				continue
+			}
 			return fmt.Errorf("serve: %w", err)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
 				reload(path, operator, feed)
 				continue
 			}
-			finish(c, cfg.Limits)
+			slog.Info("ending")
+			finish(c, front, cfg.Limits)
 			return nil
 		}
 	}
@@ -133,18 +160,22 @@
 }
 
 // finish goes on serving for the linger time, in which requests still arrive, and then until all that was
-// taken is answered.
-func finish(c *core.Core, lim config.Limits) {
-	slog.Info("ending", "linger", lim.Linger)
+// taken is answered. Where a successor has taken over, new connections are left to that at once, and the open ones
+// close as on standby.
+func finish(c *core.Core, front *msgrpc.Front, lim config.Limits) {
+	start := time.Now()
 	c.Post(c.Stop)
-	time.Sleep(lim.Linger)
-	for end := time.Now().Add(lim.Finish); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		open := make(chan int, 1)
+	for ; time.Since(start) < lim.Finish; time.Sleep(10 * time.Millisecond) {
+		open, followed := make(chan int, 1), c.Snapshot().Followed
 		c.Post(func() { open <- c.Open() })
-		if <-open == 0 {
+		if followed {
+			front.StopAccepting()
+		}
+		if n := <-open; n == 0 && (followed && front.Conns() == 0 || !followed && time.Since(start) > lim.Linger) {
 			break
 		}
 	}
+	slog.Info("ended", "after", time.Since(start), "followed", c.Snapshot().Followed)
 	time.Sleep(50 * time.Millisecond) // the last answers are on their way out
 }
 
--- a/cmd/hillknot/main_test.go
+++ b/cmd/hillknot/main_test.go
@@ -2,19 +2,24 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 )
 
-const conf = `{"listen":"127.0.0.1:0","journal":%q,"known":{"pos":7},"settings":{"dcs":["e"],"locality":"e",
+const conf = `{"listen":%q,"journal":%q,"known":{"pos":7,"entries":[{"pos":7,"hosts":{"reset":true,"instances":[
+	{"instanceId":"s-1","hostPort":"127.0.0.1:9","zone":"e","lifecycle":"ready"}]}}]},"settings":{"dcs":["e"],"locality":"e",
 	"profiles":[{"name":"a","deadlineUs":3000000}]}}`
 
+const nowhere = "127.0.0.1:0"
+
 // feed is a journal service of which the test sees the calls.
 func feed(t *testing.T) net.Listener {
 	t.Helper()
@@ -53,16 +58,16 @@
 			t.Fatal(err)
 		}
 	}
-	write(fmt.Sprintf(conf, first.Addr()))
+	write(fmt.Sprintf(conf, nowhere, first.Addr()))
 	signals, ended := make(chan os.Signal, 4), make(chan error, 1)
-	go func() { ended <- run(path, "", signals) }()
+	go func() { ended <- run(path, "", signals, func() {}) }()
 	if pos := called(t, first); pos != "7" {
 		t.Errorf("called from %q, want 7", pos)
 	}
 	write(`{"journal":`)
 	signals <- syscall.SIGHUP
 	first.Close()
-	write(fmt.Sprintf(conf, second.Addr()))
+	write(fmt.Sprintf(conf, nowhere, second.Addr()))
 	signals <- syscall.SIGHUP
 	if pos := called(t, second); pos != "7" {
 		t.Errorf("called from %q after the move, want 7", pos)
@@ -77,3 +82,82 @@
 		t.Error(err)
 	}
 }
+
+// ready asks over a connection whether the router is ready. Another error than the end of the connection is the
+// test's.
+func ready(t *testing.T, nc net.Conn) (yes, ended bool) {
+	t.Helper()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	buf := make([]byte, 16)
+	if _, err := nc.Write([]byte("\x94\x00\x01\xa6health\x91\x80")); err != nil {
+		return false, true
+	}
+	n, err := nc.Read(buf)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Fatal("no answer")
+	}
+	return bytes.Contains(buf[:n], []byte{0x92, 0xc3}), n == 0
+}
+
+// A new process takes the place of an old one on the same socket: the old one ends by itself, its connections are
+// closed, and nobody is turned away.
+func TestReplace(t *testing.T) {
+	news := feed(t)
+	ln := feed(t)
+	t.Setenv("TMPDIR", t.TempDir())
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, conf, ln.Addr(), news.Addr()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start := func() (chan<- os.Signal, <-chan error) {
+		raw, err := ln.(*net.TCPListener).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := raw.Control(func(p uintptr) {
+			fd, err := syscall.Dup(int(p))
+			if err != nil {
+				t.Error(err)
+			}
+			t.Setenv("RELAY_SOCKET_FD", strconv.Itoa(fd))
+		}); err != nil {
+			t.Fatal(err)
+		}
+		signals, ended, up := make(chan os.Signal, 4), make(chan error, 1), make(chan struct{})
+		go func() { ended <- run(path, "", signals, func() { close(up) }) }()
+		select {
+		case <-up:
+		case err := <-ended:
+			t.Fatalf("ended: %v", err)
+		}
+		return signals, ended
+	}
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		return nc
+	}
+	oldSignals, oldEnded := start()
+	kept := dial()
+	if yes, _ := ready(t, kept); !yes {
+		t.Fatal("the old process is not ready")
+	}
+	newSignals, newEnded := start()
+	oldSignals <- syscall.SIGTERM
+	if err := <-oldEnded; err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	if _, ended := ready(t, kept); !ended {
+		t.Error("a connection to the old process is still open")
+	}
+	if yes, ended := ready(t, dial()); !yes || ended {
+		t.Error("the new process is not ready")
+	}
+	newSignals <- syscall.SIGTERM
+	if err := <-newEnded; err != nil {
+		t.Errorf("the new process: %v", err)
+	}
+}
--- /dev/null
+++ b/cmd/hillknot/replace.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"hillknot/internal/cachewire"
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+	"hillknot/internal/handover"
+	"hillknot/internal/journal"
+	"hillknot/internal/msgrpc"
+	"hillknot/internal/netio"
+)
+
+// replacement is this process as one that follows another and may be followed. Two processes of a router share
+// its limits.
+type replacement struct {
+	core   *core.Core
+	feed   *journal.Client
+	up     *cachewire.Client
+	front  *msgrpc.Front
+	budget *netio.Budget
+	lim    config.Limits
+
+	mu            sync.Mutex
+	before, after bool // a predecessor, or a successor, is beside this process
+}
+
+// follow waits until this process knows what its predecessor does, and goes on from there. Where that fails it
+// starts from what it was told at its start: cautiously, as any new router.
+func (r *replacement) follow(p *handover.Predecessor) {
+	if !r.feed.Reach(p.Pos, r.lim.HandoverReach) {
+		slog.Warn("journal is behind that of the predecessor", "pos", r.feed.Position(), "predecessor", p.Pos)
+	}
+	s, err := p.Ready()
+	if err != nil {
+		slog.Warn("nothing taken over", "err", err)
+		return
+	}
+	done := make(chan struct{})
+	r.core.Post(func() { r.core.TakeOver(s.Memory); close(done) })
+	<-done
+	slog.Info("taken over", "members", len(s.Memory.Members), "purges", len(s.Memory.Purges), "objects", len(s.Memory.Objects))
+}
+
+// wait sees to the end of the predecessor.
+func (r *replacement) wait(p *handover.Predecessor, stop <-chan struct{}) {
+	select {
+	case <-p.Gone:
+		slog.Info("predecessor has ended")
+		r.share(func() { r.before = false })
+	case <-stop:
+	}
+}
+
+// Position implements handover.Owner.
+func (r *replacement) Position() int64 { return r.feed.Position() }
+
+// State implements handover.Owner. A loop that has no time hands nothing over.
+func (r *replacement) State() handover.State {
+	got := make(chan handover.State, 1)
+	r.core.Post(func() { got <- handover.State{Pos: r.feed.Position(), Memory: r.core.HandOver()} })
+	t := time.NewTimer(r.lim.HandoverWait / 2)
+	defer t.Stop()
+	select {
+	case s := <-got:
+		return s
+	case <-t.C:
+		return handover.State{}
+	}
+}
+
+// Beside implements handover.Owner.
+func (r *replacement) Beside(beside, after bool) {
+	slog.Info("successor", "beside", beside, "ready", after)
+	r.share(func() { r.after = beside })
+	r.core.Post(func() { r.core.Followed(after) })
+}
+
+// share sets the limits by who is beside this process.
+func (r *replacement) share(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+	lim := r.lim
+	if r.before || r.after {
+		lim = lim.Shared()
+	}
+	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 3 / 4)
+	r.budget.Set(lim.HeldBytes)
+	r.front.SetMax(lim.ClientConns)
+	r.core.Post(func() { r.up.Limit(lim.CacheConns) })
+}
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -133,6 +133,18 @@
 	}
 }
 
+// Limit changes how many connections there may be, and closes idle ones over that.
+func (cl *Client) Limit(conns int) {
+	cl.lim.CacheConns = conns
+	for _, p := range cl.pools {
+		for _, c := range slices.Clone(p.conns) {
+			if cl.conns > conns && len(c.open) == 0 {
+				c.retire()
+			}
+		}
+	}
+}
+
 func (cl *Client) dial(p *pool) {
 	p.dialing++
 	cl.conns++
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -45,7 +45,7 @@
 	b := &bench{t: t, posts: make(chan func(), 100), ends: make(chan core.End, 100), ln: ln}
 	lim := config.Limits{ConnsPerCache: 2, CacheConns: 10, AnswerLine: 100, Object: 1 << 10, Connect: 10 * time.Second,
 		UpstreamIdle: time.Hour, UpstreamSilent: time.Second, Longest: time.Minute, Upstream: config.Conn{Pending: 1 << 16, Read: 10 * time.Second, Write: 10 * time.Second}}
-	b.cl = New(b, lim, &netio.Budget{Max: 1 << 20}, func() time.Duration { return time.Duration(b.now.Load()) })
+	b.cl = New(b, lim, netio.NewBudget(1<<20), func() time.Duration { return time.Duration(b.now.Load()) })
 	b.node = &core.Member{ID: "s-1", Addr: ln.Addr().String()}
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -21,7 +22,8 @@
 type Config struct {
 	Name      string
 	Listen    string
-	Inherited int // descriptor of a socket that listens for clients already; 0: there is none
+	Inherited int    // descriptor of a socket that listens for clients already; 0: there is none
+	Handover  string // path at which processes of this router meet; empty: nowhere
 	Journal   string
 	Known     fields.Object // the journal's events of the start
 	Settings  brain.Settings
@@ -81,6 +83,9 @@
 			return fmt.Errorf("RELAY_SOCKET_FD %q is no descriptor that can be inherited", text)
 		}
 		c.Inherited = fd
+		if dir := get("TMPDIR"); filepath.IsAbs(dir) { // without one, whose is the file?
+			c.Handover = filepath.Join(dir, "hillknot-"+strings.ReplaceAll(c.Listen, ":", "-")+".sock")
+		}
 	}
 	return nil
 }
@@ -116,6 +121,8 @@
 	for _, k := range c.Settings.Classes {
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
+	// The platform kills no sooner than this after SIGTERM, less some time to write the last answers.
+	c.Limits.Finish = max(c.Limits.Longest, 3*time.Second) + 700*time.Millisecond - 200*time.Millisecond
 	if err := o.Err(); err != nil {
 		return nil, err
 	}
@@ -221,7 +228,6 @@
 		OpsConns: 16, OpsHead: 8 << 10, OpsBody: 8 << 10,
 
 		Linger: 700 * ms,
-		Finish: 5500 * ms,
 
 		LeaveBehind: 400 * ms, LeaveIdle: 600 * ms, LeavePause: 100 * ms, LeaveRefuse: 2 * time.Second, LeaveCut: 3300 * ms,
 
@@ -236,6 +242,10 @@
 			Silent: 2 * time.Second},
 		Ops: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: time.Second,
 			Silent: time.Second},
+		HandoverConns: 4, HandoverState: 1 << 20, HandoverWait: 500 * ms, HandoverReach: 1500 * ms,
+		// The connection stays, silent, for as long as both processes live.
+		Handover: Conn{Pending: 2 << 20, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 1000 * time.Hour,
+			Silent: 2 * time.Second},
 		Journal: Conn{Pending: 1 << 16, Read: 2 * time.Second, Write: time.Second},
 	}
 	// Clients hold up to a third of the descriptors. Some more are for strangers and for connections that are on
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -70,3 +70,46 @@
 		t.Errorf("operator's file: %v", err)
 	}
 }
+
+// What the platform tells by the environment; the file goes before it.
+func TestEnvironment(t *testing.T) {
+	for _, c := range []struct {
+		text, ops, fd, dir     string
+		wantOps, path, failing string
+		inherited              int
+	}{
+		{base + "}", "", "", "/tmp/x", "", "", "", 0},
+		{base + "}", "127.0.0.1:9", "5", "/tmp/x", "127.0.0.1:9", "/tmp/x/hillknot-127.0.0.1-1.sock", "", 5},
+		{base + `,"ops":"127.0.0.1:8"}`, "127.0.0.1:9", "5", "", "127.0.0.1:8", "", "", 5},
+		{base + "}", "here", "", "", "", "", "RELAY_OPS", 0},
+		{base + "}", "", "1", "", "", "", "RELAY_SOCKET_FD", 0},
+		{base + "}", "", "five", "", "", "", "RELAY_SOCKET_FD", 0},
+	} {
+		cfg, err := Parse([]byte(c.text), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		env := map[string]string{"RELAY_OPS": c.ops, "RELAY_SOCKET_FD": c.fd, "TMPDIR": c.dir}
+		err = cfg.environment(func(k string) string { return env[k] })
+		switch {
+		case c.failing != "":
+			if err == nil || !strings.Contains(err.Error(), c.failing) {
+				t.Errorf("%v: error %v", env, err)
+			}
+		case err != nil || cfg.Ops != c.wantOps || cfg.Handover != c.path || cfg.Inherited != c.inherited:
+			t.Errorf("%v: %q, %q, %d, %v", env, cfg.Ops, cfg.Handover, cfg.Inherited, err)
+		}
+	}
+}
+
+// Two processes of a router together hold no more than one may.
+func TestShared(t *testing.T) {
+	c, err := Parse([]byte(base+"}"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, s := c.Limits, c.Limits.Shared()
+	if 2*s.MemoryMB > l.MemoryMB || 2*s.HeldBytes > l.HeldBytes || 2*s.ClientConns > l.ClientConns || 2*s.CacheConns > l.CacheConns || s.CacheConns == 0 {
+		t.Errorf("shared %+v of %+v", s, l)
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -44,7 +44,12 @@
 	LeaveRefuse time.Duration // nothing new is taken
 	LeaveCut    time.Duration // whatever owes nothing closes
 
-	Client, Upstream, Journal, DNS, Check, Ops Conn
+	HandoverConns int           // processes that may call as successors
+	HandoverState int           // bytes of what is handed over
+	HandoverWait  time.Duration // for an answer of the other process
+	HandoverReach time.Duration // until the journal has told what the predecessor knows
+
+	Client, Upstream, Journal, DNS, Check, Ops, Handover Conn
 }
 
 // Conn bounds the reads and writes of one connection.
@@ -56,3 +61,9 @@
 	Idle    time.Duration // of one that was accepted: closed when nothing has moved for so long
 	Silent  time.Duration // and when nothing whole has come at all
 }
+
+// Shared returns the limits while two processes are one router: together they may hold what one may.
+func (l Limits) Shared() Limits {
+	l.MemoryMB, l.HeldBytes, l.ClientConns, l.CacheConns = l.MemoryMB/2, l.HeldBytes/2, l.ClientConns/2, l.CacheConns/2
+	return l
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -119,8 +119,10 @@
 	queries  map[brain.RequestID]*query
 	timers   timers
 	listed   bool
+	held     bool // not to take clients yet
 	standby  bool
 	stopping bool
+	followed bool
 	left     time.Duration // when it began to leave its clients
 	maxWait  time.Duration // the longest that a refused client may be told to stay away
 
@@ -247,6 +249,9 @@
 // Submit takes a request. Its answer is owed from now on.
 func (c *Core) Submit(id brain.RequestID, q Request) {
 	left := min(q.Limit, c.lim.Longest) - c.lim.Margin
+	if c.stopping { // what is open as the router ends would be lost
+		left = min(left, c.left+c.lim.Finish-c.lim.Overhang-c.now)
+	}
 	switch {
 	case len(c.open) >= c.lim.Open || c.Leaving() >= Refuse:
 		c.reply(&q, Answer{Verdict: Refused, Wait: c.maxWait})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -323,3 +323,39 @@
 		t.Errorf("phase %v; a router that ends goes on with that", r.c.phase())
 	}
 }
+
+// Without a successor a router that ends keeps its connections; with one it leaves its clients at once. Either way
+// what it still takes is answered before it ends.
+func TestEnding(t *testing.T) {
+	r := newRig(t)
+	r.c.lim.LeaveBehind, r.c.lim.LeaveIdle, r.c.lim.LeaveRefuse, r.c.lim.LeaveCut = second/2, second, 2*second, 3*second
+	r.c.lim.Finish = 3 * second
+	r.c.Stop()
+	r.wait(second)
+	r.submit("page", 5*second)
+	if r.c.Leaving() != Stay || r.c.Snapshot().Phase != Ending || len(r.out) != 1 {
+		t.Errorf("no successor: leaving %d, %d attempts", r.c.Leaving(), len(r.out))
+	}
+	r.c.Followed(true)
+	r.c.Turn()
+	if r.c.Leaving() != Idle {
+		t.Errorf("a successor: leaving %d", r.c.Leaving())
+	}
+	r.wait(2 * second)
+	r.one("still open", Refused)
+}
+
+// A process that follows another is not ready before it is told so, though it knows the list.
+func TestHold(t *testing.T) {
+	r := newRig(t)
+	r.c.Hold(true)
+	r.c.Turn()
+	if p := r.c.Snapshot().Phase; p != Starting {
+		t.Errorf("phase %v", p)
+	}
+	r.c.Hold(false)
+	r.c.Turn()
+	if p := r.c.Snapshot().Phase; p != Serving {
+		t.Errorf("phase %v", p)
+	}
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,13 +1,17 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"hillknot/brain"
+)
 
 // Phase is what the router as a whole is doing. All fronts tell the same one.
 type Phase uint8
 
 // The phases.
 const (
-	Starting Phase = iota // the list of members is not known yet
+	Starting Phase = iota // the list of members is not known yet, or a predecessor still is to be followed
 	Serving
 	Standby // emptied on the operators' word
 	Ending
@@ -25,6 +29,7 @@
 type Snapshot struct {
 	Phase      Phase
 	Since      time.Duration // when it began to leave its clients: on standby or as it ends
+	Followed   bool          // a successor has taken over
 	Tallies    []Tally       // by class, as the settings list them; last, what no class was named for
 	Dispatches uint64        // attempts written whole
 	Open       int           // requests taken and not ended
@@ -40,7 +45,7 @@
 
 // publish makes what the loop has done seen outside.
 func (c *Core) publish() {
-	s := &Snapshot{Phase: c.phase(), Since: c.left, Tallies: append([]Tally(nil), c.tallies...), Dispatches: c.dispatches,
+	s := &Snapshot{Phase: c.phase(), Since: c.left, Followed: c.followed, Tallies: append([]Tally(nil), c.tallies...), Dispatches: c.dispatches,
 		Open: len(c.open)}
 	s.Targets, s.Avoided = c.brain.Targets()
 	c.snap.Store(s)
@@ -52,7 +57,7 @@
 		return Ending
 	case c.standby:
 		return Standby
-	case c.listed:
+	case c.listed && !c.held:
 		return Serving
 	}
 	return Starting
@@ -93,6 +98,21 @@
 	return true
 }
 
+// Hold keeps the router starting, and says so, until it is called with false.
+func (c *Core) Hold(on bool) { c.held = on }
+
+// Followed tells the core whether a successor has taken over: who has one leaves its clients as it ends.
+func (c *Core) Followed(yes bool) { c.followed = yes }
+
+// HandOver returns what a successor goes on from, and TakeOver goes on from it.
+func (c *Core) HandOver() brain.Memory { return c.brain.HandOver() }
+
+// TakeOver goes on from what a predecessor handed over. What came in before is decided first, as the list counts.
+func (c *Core) TakeOver(m brain.Memory) {
+	c.settle()
+	c.brain.TakeOver(c.now, m)
+}
+
 // Stop marks the router as on its way out; it goes on answering.
 func (c *Core) Stop() {
 	c.stopping = true
@@ -115,10 +135,14 @@
 // nobody to follow it keeps its connections up to its end: there is nobody else to call.
 func (c *Core) Leaving() Leave {
 	s := c.snap.Load()
-	if s.Phase != Standby {
+	gone := c.clock() - s.Since
+	switch {
+	case s.Phase == Ending && s.Followed:
+		gone += c.lim.LeaveBehind // the successor has the new connections already
+	case s.Phase != Standby:
 		return Stay
 	}
-	switch gone := c.clock() - s.Since; {
+	switch {
 	case gone >= c.lim.LeaveCut:
 		return Cut
 	case gone >= c.lim.LeaveRefuse:
--- a/internal/dnsfront/front_test.go
+++ b/internal/dnsfront/front_test.go
@@ -96,7 +96,7 @@
 	c.Use(noUpstream{})
 	s.core = c
 	s.f, err = Listen(c, config.DNS{Listen: "127.0.0.1:0", Names: []string{name}, TTL: 5 * time.Second, Overstay: 2, Load: 0.05,
-		Answers: answers, Deadline: time.Second}, lim, &netio.Budget{Max: 1 << 20})
+		Answers: answers, Deadline: time.Second}, lim, netio.NewBudget(1<<20))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,195 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hillknot/brain"
+	"hillknot/internal/config"
+	"hillknot/internal/parsetest"
+)
+
+var lim = config.Limits{HandoverConns: 4, HandoverState: 1 << 16, HandoverWait: 20 * time.Second,
+	Handover: config.Conn{Pending: 1 << 17, Read: 20 * time.Second, Whole: 20 * time.Second, Write: 20 * time.Second, Idle: time.Hour, Silent: time.Hour}}
+
+var some = State{Pos: 41, Memory: brain.Memory{LinkRoom: 2.5, Floor: 7, Purges: []brain.PurgeMemory{{ByGroup: true, Name: 1<<64 - 1, At: 9}},
+	Members: []brain.MemberMemory{{Node: 1<<64 - 2, Start: 3, Saved: 0.25, Misses: 0.5, Fails: 2, Bad: true, Trial: 4, Doubted: 5, Doubt: 0.75}},
+	Loads:   []brain.LoadMemory{{Rate: 1, Peak: 2, Fleet: 3, At: 4}}, Classes: []brain.ClassMemory{{Name: `a"b`, Work: 0.125}},
+	Objects: []brain.ObjectMemory{{Object: 1 << 63, Part: 2, Seen: 3, OkAt: 4, Copied: 5, Held: true, Work: 0.5}}}}
+
+// owner is a process that may be followed.
+type owner struct{ beside chan [2]bool }
+
+func (o *owner) Position() int64           { return some.Pos }
+func (o *owner) State() State              { return some }
+func (o *owner) Beside(beside, after bool) { o.beside <- [2]bool{beside, after} }
+
+func (o *owner) told(t *testing.T, beside, after bool) {
+	t.Helper()
+	select {
+	case got := <-o.beside:
+		if got != [2]bool{beside, after} {
+			t.Errorf("told of beside, after %v; want %t, %t", got, beside, after)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("told nothing")
+	}
+}
+
+func give(t *testing.T) (*owner, string) {
+	t.Helper()
+	o, path := &owner{beside: make(chan [2]bool, 10)}, filepath.Join(t.TempDir(), "s")
+	g, err := Give(path, o, lim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return o, path
+}
+
+func find(t *testing.T, path string) *Predecessor {
+	t.Helper()
+	p := Find(path, lim)
+	if p == nil {
+		t.Fatal("no predecessor")
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// The old process knows of the new one from the call on, and that it is followed before the new one has the state.
+func TestFollow(t *testing.T) {
+	o, path := give(t)
+	p := find(t, path)
+	o.told(t, true, false)
+	if p.Pos != some.Pos {
+		t.Errorf("position %d", p.Pos)
+	}
+	s, err := p.Ready()
+	if err != nil || !reflect.DeepEqual(s, some) {
+		t.Errorf("state %+v, %v; want %+v", s, err, some)
+	}
+	o.told(t, true, true)
+}
+
+// A successor that dies leaves the old one as it was: it can be followed again, also where the dead one had taken
+// its place at the path.
+func TestSuccessorDies(t *testing.T) {
+	o, path := give(t)
+	p := find(t, path)
+	o.told(t, true, false)
+	if _, err := p.Ready(); err != nil {
+		t.Fatal(err)
+	}
+	o.told(t, true, true)
+	next, err := Give(path, &owner{beside: make(chan [2]bool, 10)}, lim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Close()
+	p.Close()
+	o.told(t, false, false)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		if p := Find(path, lim); p != nil {
+			p.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("can't be followed again")
+		}
+	}
+	o.told(t, true, false)
+}
+
+// The old process ends: the new one sees it.
+func TestPredecessorEnds(t *testing.T) {
+	o := &owner{beside: make(chan [2]bool, 10)}
+	path := filepath.Join(t.TempDir(), "s")
+	g, err := Give(path, o, lim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := find(t, path)
+	g.Close()
+	select {
+	case <-p.Gone:
+	case <-time.After(20 * time.Second):
+		t.Fatal("not seen")
+	}
+	if _, err := p.Ready(); err == nil {
+		t.Error("a state from one that has gone")
+	}
+}
+
+// Nobody there, a path left behind, a file of another kind, and one who listens and says nothing: no predecessor.
+func TestNobody(t *testing.T) {
+	dir := t.TempDir()
+	stale := filepath.Join(dir, "stale")
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: stale, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.SetUnlinkOnClose(false)
+	ln.Close()
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, []byte("7"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	mute, err := net.Listen("unix", filepath.Join(dir, "mute"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { mute.Close() })
+	short := lim
+	short.HandoverWait = 10 * time.Millisecond
+	for _, path := range []string{filepath.Join(dir, "none"), stale, file, mute.Addr().String()} {
+		if Find(path, short) != nil {
+			t.Errorf("%s: a predecessor", path)
+		}
+	}
+	if g, err := Give(stale, &owner{}, lim); err != nil {
+		t.Errorf("over a stale path: %v", err)
+	} else {
+		g.Close()
+	}
+}
+
+// Another version, or anything else, ends the connection; nobody is told of a successor.
+func TestOtherVersion(t *testing.T) {
+	o, path := give(t)
+	for _, text := range []string{"TAKE 2 0\n", "READY 1 0\n", "TAKE 1 5\nhello", "GET / HTTP/1.1\r\n\r\n"} {
+		nc, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.SetDeadline(time.Now().Add(20 * time.Second))
+		nc.Write([]byte(text))
+		if n, err := nc.Read(make([]byte, 1)); n != 0 || err == nil {
+			t.Errorf("%q is answered", text)
+		}
+		nc.Close()
+	}
+	if len(o.beside) != 0 {
+		t.Errorf("told %v", <-o.beside)
+	}
+}
+
+func TestParser(t *testing.T) {
+	parsetest.Run(t, func(t *rapid.T) []byte {
+		return appendMessage(nil, rapid.StringMatching("[A-Z]{1,8}").Draw(t, "word"), rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "body"))
+	}, func(buf []byte) (int, int, error) {
+		_, n, want, err := parse(buf, 200)
+		return n, want, err
+	})
+	// A state in which bytes are bent is an error or a state, and no panic.
+	parsetest.Garbage(t, func(*rapid.T) []byte { return encode(some) }, func(buf []byte) (int, int, error) {
+		_, err := decode(buf)
+		return len(buf), 0, err
+	})
+}
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -32,6 +32,7 @@
 	addr  string
 	moved chan struct{} // closed when the address has changed
 	last  int64         // position of the latest event that was handed on
+	grown chan struct{} // closed when that has changed
 }
 
 // New returns a client that has handed on the events of the start.
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cl := &Client{core: c, addr: addr, moved: make(chan struct{}), lim: lim}
+	cl := &Client{core: c, addr: addr, moved: make(chan struct{}), grown: make(chan struct{}), lim: lim}
 	for _, e := range evs {
 		cl.hand(e)
 	}
@@ -48,6 +49,32 @@
 	return cl, nil
 }
 
+// Position is the position of the latest event.
+func (cl *Client) Position() int64 {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.last
+}
+
+// Reach waits until the event at a position has come, for a bounded time. It tells whether it has.
+func (cl *Client) Reach(pos int64, most time.Duration) bool {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	for {
+		cl.mu.Lock()
+		last, grown := cl.last, cl.grown
+		cl.mu.Unlock()
+		if last >= pos {
+			return true
+		}
+		select {
+		case <-grown:
+		case <-t.C:
+			return false
+		}
+	}
+}
+
 // hand hands an event on, once: an old connection may still bring what a new one has brought. The first
 // event holds the whole list.
 func (cl *Client) hand(e Event) {
@@ -58,6 +85,8 @@
 	}
 	e.Full = e.Full || e.List && cl.last == 0
 	cl.last = e.Pos
+	close(cl.grown)
+	cl.grown = make(chan struct{})
 	cl.core.Post(func() { e.apply(cl.core) })
 }
 
@@ -107,7 +136,7 @@
 func (cl *Client) call(addr string, pos int64, moved, stop <-chan struct{}) (heard bool, err error) {
 	s := &session{cl: cl, closed: make(chan struct{}), heard: make(chan struct{}, 1)}
 	s.stream = stream{max: cl.lim.JournalLine, event: s.event}
-	nc, err := netio.Dial(addr, cl.lim.Connect, cl.lim.Journal, &netio.Budget{Max: int64(2 * cl.lim.JournalLine)}, func(*netio.Conn) netio.Handler { return s })
+	nc, err := netio.Dial(addr, cl.lim.Connect, cl.lim.Journal, netio.NewBudget(2*cl.lim.JournalLine), func(*netio.Conn) netio.Handler { return s })
 	if err != nil {
 		return false, err
 	}
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -31,7 +31,7 @@
 	lim     config.Limits
 	classes map[string]brain.Class
 	budget  *netio.Budget
-	srv     *netio.Server
+	*netio.Server
 }
 
 // Listen opens the listener, or takes the one that the process inherited under a descriptor above 0. The budget
@@ -44,14 +44,14 @@
 	handler := func(nc *netio.Conn) netio.Handler { return &conn{f: f, nc: nc, open: map[uint64]brain.RequestID{}} }
 	var err error
 	if inherited > 0 {
-		f.srv, err = netio.Inherit(inherited, lim.ClientConns, lim.Client, budget, handler)
+		f.Server, err = netio.Inherit(inherited, lim.ClientConns, lim.Client, budget, handler)
 	} else {
-		f.srv, err = netio.Listen(addr, lim.ClientConns, lim.Client, budget, handler)
+		f.Server, err = netio.Listen(addr, lim.ClientConns, lim.Client, budget, handler)
 	}
 	if err != nil {
 		return nil, err
 	}
-	f.srv.Patience = f.patience
+	f.Server.Patience = f.patience
 	return f, nil
 }
 
@@ -69,15 +69,6 @@
 	return f.lim.Client.Idle, f.lim.Client.Whole
 }
 
-// Addr is the address listened on.
-func (f *Front) Addr() string { return f.srv.Addr().String() }
-
-// Serve accepts until Close.
-func (f *Front) Serve() error { return f.srv.Serve() }
-
-// Close closes the listener and all connections.
-func (f *Front) Close() { f.srv.Close() }
-
 // conn is a client's connection. Its open requests belong to the core's goroutine.
 type conn struct {
 	f      *Front
@@ -187,7 +178,7 @@
 		c.nc.Close()
 	case word != "":
 		if c.faults++; c.faults > c.f.lim.Faults { // it goes on for as long as it is answered
-			c.nc.Close()
+			c.nc.CloseBehind() // the answers before are on their way
 			return
 		}
 		c.f.core.Count(q.Class, core.Failed)
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -47,7 +47,7 @@
 	d.phase.Store(int64(core.Serving))
 	lim := config.Limits{ClientConns: 10, OpenPerConn: 2, Message: 1 << 16, WriteBody: 1 << 10, Faults: 2,
 		Client: config.Conn{Pending: 1 << 20, Read: time.Minute, Write: time.Minute, Idle: time.Minute, Silent: 10 * time.Second}}
-	f, err := Listen("127.0.0.1:0", 0, d, lim, []brain.Class{{Name: "page", Deadline: 3 * time.Second}}, &netio.Budget{Max: 1 << 22})
+	f, err := Listen("127.0.0.1:0", 0, d, lim, []brain.Class{{Name: "page", Deadline: 3 * time.Second}}, netio.NewBudget(1<<22))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +65,7 @@
 	}()
 	t.Cleanup(func() { f.Close(); close(stop) })
 	return d, func() *client {
-		nc, err := net.Dial("tcp", f.Addr())
+		nc, err := net.Dial("tcp", f.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,23 +26,27 @@
 
 // Budget bounds the bytes that connections hold together: of messages that are not whole yet, and of what
 // waits to be written.
-type Budget struct {
-	Max  int64
-	used atomic.Int64
-}
+type Budget struct{ max, used atomic.Int64 }
 
 // NewBudget returns a budget of so many bytes.
-func NewBudget(max int) *Budget { return &Budget{Max: int64(max)} }
+func NewBudget(max int) *Budget {
+	b := &Budget{}
+	b.Set(max)
+	return b
+}
 
-// Full tells whether so much is held that nothing new should be taken. Up to Max, what has been taken can
+// Set changes how many bytes may be held. What is held already stays.
+func (b *Budget) Set(max int) { b.max.Store(int64(max)) }
+
+// Full tells whether so much is held that nothing new should be taken. Up to the whole, what has been taken can
 // still be finished.
-func (b *Budget) Full() bool { return b.used.Load() >= b.Max/4*3 }
+func (b *Budget) Full() bool { return b.used.Load() >= b.max.Load()/4*3 }
 
 func (b *Budget) add(n int) { b.used.Add(int64(n)) }
 
 // take adds n where that fits.
 func (b *Budget) take(n int) bool {
-	if b.used.Add(int64(n)) <= b.Max {
+	if b.used.Add(int64(n)) <= b.max.Load() {
 		return true
 	}
 	b.add(-n)
@@ -108,7 +111,7 @@
 // Leave closes the connection behind what was sent, unless more is owed on it or something is coming in.
 func (c *Conn) Leave() {
 	if c.owed.Load() == 0 && c.half.Load() == 0 {
-		c.finish()
+		c.CloseBehind()
 	}
 }
 
@@ -227,11 +230,11 @@
 	if err := c.Send(b); err != nil {
 		return // closed, or about to be
 	}
-	c.finish()
+	c.CloseBehind()
 }
 
-// finish closes the connection once all is written.
-func (c *Conn) finish() {
+// CloseBehind closes the connection once all is written that was sent.
+func (c *Conn) CloseBehind() {
 	c.mu.Lock()
 	c.last = true
 	done := !c.writing
@@ -307,7 +310,7 @@
 
 // Dial connects and hands what comes in to the handler.
 func Dial(addr string, timeout time.Duration, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Conn, error) {
-	nc, err := netpoll.NewDialer().DialConnection("tcp", addr, timeout)
+	nc, err := netpoll.NewDialer().DialConnection(network(addr), addr, timeout)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
@@ -332,7 +335,7 @@
 	ln    *gate
 	loop  netpoll.EventLoop
 	lim   config.Conn
-	max   int64
+	max   atomic.Int64
 	open  atomic.Int64
 	bud   *Budget
 	h     func(*Conn) Handler
@@ -349,7 +352,7 @@
 // Listen opens the listener. At most max connections are open at a time: a new one takes the place of one that
 // owes nothing, and is closed at once where there is none.
 func Listen(addr string, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := listen(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -359,12 +362,7 @@
 // Inherit is Listen on a socket that this process was given and that listens already. Others may have it too: it
 // is closed here, but never shut down.
 func Inherit(fd int, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
-	f := os.NewFile(uintptr(fd), "inherited listener")
-	if f == nil {
-		return nil, fmt.Errorf("descriptor %d: %w", fd, os.ErrInvalid)
-	}
-	ln, err := net.FileListener(f) // has a descriptor of its own
-	_ = f.Close()                  // ours is of no more use, whether that went well or not
+	ln, err := inherited(fd)
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
@@ -372,34 +370,26 @@
 }
 
 func serve(ln net.Listener, max int, lim config.Conn, budget *Budget, h func(*Conn) Handler) (*Server, error) {
-	nl, err := netpoll.ConvertListener(ln)
+	g, err := newGate(ln)
 	if err != nil {
 		_ = ln.Close() // the first error is the one to report
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &Server{ln: &gate{Listener: nl}, lim: lim, max: int64(max), bud: budget, h: h, done: make(chan struct{})}
+	s := &Server{ln: g, lim: lim, bud: budget, h: h, done: make(chan struct{})}
+	s.SetMax(max)
 	s.loop, err = netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.prepare), netpoll.WithOnConnect(s.opened))
 	if err != nil {
-		_ = nl.Close()
+		_ = ln.Close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return s, nil
 }
 
-// gate is a listener that can stop accepting and leave alone what it has accepted. What still arrives waits for
-// the others who have the socket: netpoll takes a listener off its poller at an error that says "closed".
-type gate struct {
-	netpoll.Listener
-	shut atomic.Bool
-}
+// SetMax changes how many connections may be open. What is open already stays.
+func (s *Server) SetMax(max int) { s.max.Store(int64(max)) }
 
-// Accept implements net.Listener.
-func (g *gate) Accept() (net.Conn, error) {
-	if g.shut.Load() {
-		return nil, net.ErrClosed
-	}
-	return g.Listener.Accept()
-}
+// Conns is how many connections are open.
+func (s *Server) Conns() int { return int(s.open.Load()) }
 
 // StopAccepting leaves new connections to others who have the same socket; what is open goes on.
 func (s *Server) StopAccepting() { s.ln.shut.Store(true) }
@@ -409,6 +399,11 @@
 
 // Serve accepts until Close.
 func (s *Server) Serve() error {
+	select {
+	case <-s.done: // closed before it began
+		return s.ln.Close()
+	default:
+	}
 	go s.sweep()
 	if err := s.loop.Serve(s.ln); err != nil && !s.ln.shut.Load() {
 		return err
@@ -449,6 +444,7 @@
 
 // Close stops accepting and closes what is open. It is called once.
 func (s *Server) Close() {
+	s.ln.shut.Store(true) // also where Serve begins in this moment
 	close(s.done)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
@@ -458,7 +454,8 @@
 
 func (s *Server) prepare(nc netpoll.Connection) context.Context {
 	// What gave way closes in its own time, a moment later: some places more are kept for that.
-	if n := s.open.Add(1); n > s.max && (!s.evict() || n > s.max+s.max/8+evictSlack) {
+	max := s.max.Load()
+	if n := s.open.Add(1); n > max && (!s.evict() || n > max+max/8+evictSlack) {
 		s.open.Add(-1)
 		return context.Background() // it is closed in opened: here netpoll has yet to set it up
 	}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -19,9 +19,9 @@
 }
 func (e echo) Closed() {}
 
-func listen(t *testing.T, max int, lim config.Conn) *Server {
+func start(t *testing.T, max int, lim config.Conn) *Server {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", max, lim, &Budget{Max: 1 << 20}, func(c *Conn) Handler { return echo{c} })
+	s, err := Listen("127.0.0.1:0", max, lim, NewBudget(1<<20), func(c *Conn) Handler { return echo{c} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,14 +86,14 @@
 
 // Dials that time out must leave the poller and all other connections alone.
 func TestDialTimeouts(t *testing.T) {
-	s := listen(t, 100, lim)
+	s := start(t, 100, lim)
 	exchange(t, s.Addr().String())
 	addr := blackhole(t)
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Go(func() {
 			for range 3 {
-				if c, err := Dial(addr, 20*time.Millisecond, lim, &Budget{Max: 1 << 20}, func(c *Conn) Handler { return echo{c} }); err == nil {
+				if c, err := Dial(addr, 20*time.Millisecond, lim, NewBudget(1<<20), func(c *Conn) Handler { return echo{c} }); err == nil {
 					c.Close()
 					t.Error("connected to nowhere")
 				}
@@ -117,7 +117,7 @@
 // owed something.
 func TestRoomForNewPeers(t *testing.T) {
 	owing := make(chan *Conn, 100)
-	s, err := Listen("127.0.0.1:0", 8, lim, &Budget{Max: 1 << 20}, func(c *Conn) Handler { owing <- c; return echo{c} })
+	s, err := Listen("127.0.0.1:0", 8, lim, NewBudget(1<<20), func(c *Conn) Handler { owing <- c; return echo{c} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,7 +138,7 @@
 func TestSilentAndSlowPeers(t *testing.T) {
 	short := lim
 	short.Silent, short.Whole = 50*time.Millisecond, 50*time.Millisecond
-	s, err := Listen("127.0.0.1:0", 100, short, &Budget{Max: 1 << 20}, func(c *Conn) Handler { return lines{echo{c}} })
+	s, err := Listen("127.0.0.1:0", 100, short, NewBudget(1<<20), func(c *Conn) Handler { return lines{echo{c}} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,7 +181,7 @@
 	defer ln.Close()
 	for range 20 {
 		ended := make(chan bool)
-		c, err := Dial(ln.Addr().String(), 10*time.Second, lim, &Budget{Max: 1 << 20}, func(*Conn) Handler { return ender{ended} })
+		c, err := Dial(ln.Addr().String(), 10*time.Second, lim, NewBudget(1<<20), func(*Conn) Handler { return ender{ended} })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -202,3 +202,55 @@
 
 func (e ender) Take(buf []byte) (int, int, error) { return len(buf), 0, nil }
 func (e ender) Closed()                           { close(e.ended) }
+
+// Two servers on one socket, as two processes that inherited it: one stops accepting, and what it had goes on. New
+// connections come to the other, none is turned away.
+func TestInherited(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var servers [2]*Server
+	for i := range servers {
+		servers[i], err = Inherit(dup(t, ln), 100, lim, NewBudget(1<<20), func(c *Conn) Handler { return echo{c} })
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(servers[1].Close)
+	go servers[0].Serve()
+	old := dial(t, ln.Addr().String())
+	echoed(t, old)
+	go servers[1].Serve()
+	servers[0].StopAccepting()
+	for range 20 {
+		exchange(t, ln.Addr().String())
+	}
+	if n := servers[0].Conns(); n != 1 {
+		t.Errorf("%d connections at the one that stopped", n)
+	}
+	echoed(t, old)
+	servers[0].Close()
+	exchange(t, ln.Addr().String())
+}
+
+// dup returns a descriptor of a listener, as a process inherits one.
+func dup(t *testing.T, ln net.Listener) int {
+	t.Helper()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd := -1
+	if err := raw.Control(func(p uintptr) { fd, err = syscall.Dup(int(p)) }); err != nil || fd < 0 {
+		t.Fatal(err)
+	}
+	return fd
+}
+
+func TestInheritNothing(t *testing.T) {
+	if _, err := Inherit(1<<20, 1, lim, NewBudget(1), func(c *Conn) Handler { return echo{c} }); err == nil {
+		t.Error("a descriptor that is not open was taken")
+	}
+}
--- a/internal/parsetest/parsetest.go
+++ b/internal/parsetest/parsetest.go
@@ -38,6 +38,11 @@
 			t.Fatalf("%q: used %d, wants %d of a message of %d", all[:cut], n, want, len(first))
 		}
 	}))
+	Garbage(t, gen, parse)
+}
+
+// Garbage checks a parser against random bytes, and against messages in which some are bent.
+func Garbage(t *testing.T, gen func(*rapid.T) []byte, parse Parser) {
 	t.Run("garbage", rapid.MakeCheck(func(t *rapid.T) {
 		buf := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
 		if rapid.Bool().Draw(t, "bent") { // most of it valid, which leads further in
