Write to slow readers in pieces, and fail one answer rather than close where memory ends

Seen by reading: netio's write handed all that waited to one write with one time-out of 5 s; at 1 MB/s 32 answers take 8 s, and the connection was closed in the middle. Tests: TestSlowReader fails with one write for all (9.6 of 11.5 MB come), TestNoMemoryForAnAnswer. The front now returns what the client was told, so that it counts once and truly. Standby is published before its call is answered.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,7 +45,9 @@
 	Holds          string        // tag of the copy that the client has
 	Body           []byte
 	Write          bool
-	Reply          func(Answer) // called once on the core's goroutine, unless the request is withdrawn
+	// Reply is called once on the core's goroutine, unless the request is withdrawn. It returns what the client was
+	// told in the end: an answer that can't be passed on becomes a failure.
+	Reply func(Answer) Verdict
 }
 
 // Attempt is one attempt of a request, as an Upstream carries it.
@@ -308,8 +310,7 @@
 
 // reply gives the one answer to a request, and counts it.
 func (c *Core) reply(q *Request, a Answer) {
-	c.Count(q.Class, a.Verdict)
-	q.Reply(a)
+	c.Count(q.Class, q.Reply(a))
 }
 
 // ---- Attempts ----
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -41,6 +41,8 @@
 
 func (r *rig) Forget(*Member) {}
 
+func (r *rig) reply(a Answer) Verdict { r.answers = append(r.answers, a); return a.Verdict }
+
 func (r *rig) end(a *Attempt, e End) {
 	r.Quit(a)
 	r.c.End(a, e)
@@ -79,7 +81,7 @@
 func (r *rig) submit(class string, limit time.Duration) brain.RequestID {
 	id := r.c.NewID()
 	r.c.Submit(id, Request{Txn: strconv.Itoa(int(id)), Class: class, Object: 7, Limit: limit, Write: class == "order",
-		Reply: func(a Answer) { r.answers = append(r.answers, a) }})
+		Reply: r.reply})
 	r.c.Turn()
 	return id
 }
@@ -208,7 +210,7 @@
 func TestSameIDTwice(t *testing.T) {
 	r := newRig(t)
 	for range 2 {
-		r.c.Submit(r.c.NewID(), Request{Txn: "t", Class: "page", Object: 7, Limit: second, Reply: func(a Answer) { r.answers = append(r.answers, a) }})
+		r.c.Submit(r.c.NewID(), Request{Txn: "t", Class: "page", Object: 7, Limit: second, Reply: r.reply})
 		r.c.Turn()
 	}
 	r.one("second", Failed)
@@ -227,7 +229,7 @@
 	r := newRig(t)
 	for range 500 {
 		id := r.c.NewID()
-		r.c.Submit(id, Request{Txn: strconv.Itoa(int(id)), Class: "page", Object: 7, Limit: second, Reply: func(a Answer) { r.answers = append(r.answers, a) }})
+		r.c.Submit(id, Request{Txn: strconv.Itoa(int(id)), Class: "page", Object: 7, Limit: second, Reply: r.reply})
 		r.c.Withdraw(id)
 		r.c.Turn()
 	}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -86,6 +86,7 @@
 func (c *Core) Standby() {
 	if !c.standby && !c.stopping {
 		c.standby, c.left = true, c.now
+		c.publish() // who asked for it is answered before the loop's turn is over
 	}
 }
 
@@ -95,6 +96,7 @@
 		return false
 	}
 	c.standby, c.left = false, 0
+	c.publish()
 	return true
 }
 
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"log/slog"
 	"strconv"
 	"time"
@@ -110,7 +111,7 @@
 		}
 	case string(m.method) == "health":
 		c.nc.Owe(1)
-		c.f.core.Post(func() { c.send(appendHealth(nil, m.id, c.f.core.Snapshot().Phase == core.Serving)) })
+		c.f.core.Post(func() { _ = c.send(appendHealth(nil, m.id, c.f.core.Snapshot().Phase == core.Serving)) })
 	default:
 		c.nc.Owe(1)
 		q, word := c.request(m)
@@ -182,16 +183,16 @@
 			return
 		}
 		c.f.core.Count(q.Class, core.Failed)
-		c.send(appendError(nil, msg, word, "", ""))
+		_ = c.send(appendError(nil, msg, word, "", ""))
 	case len(c.open) >= c.f.lim.OpenPerConn || c.f.budget.Full():
 		c.f.core.Count(q.Class, core.Refused)
-		c.send(appendError(nil, msg, "Throttled", "", ""))
+		_ = c.send(appendError(nil, msg, "Throttled", "", ""))
 	default:
 		id := c.f.core.NewID()
 		c.open[msg] = id
-		q.Reply = func(a core.Answer) {
+		q.Reply = func(a core.Answer) core.Verdict {
 			delete(c.open, msg)
-			c.send(appendAnswer(nil, msg, a))
+			return c.reply(msg, a)
 		}
 		c.f.core.Submit(id, q)
 	}
@@ -207,8 +208,20 @@
 	}
 }
 
-// send sends the answer to one call.
-func (c *conn) send(b []byte) {
+// reply passes an answer on, and returns what the client is told: where the memory for answers is used up, that
+// the request failed. To close the connection would lose all else on it.
+func (c *conn) reply(msg uint64, a core.Answer) core.Verdict {
+	if err := c.send(appendAnswer(nil, msg, a)); !errors.Is(err, netio.ErrBehind) {
+		return a.Verdict
+	}
+	c.nc.Owe(1) // the answer is still owed
+	_ = c.send(appendError(nil, msg, "Failed", "", ""))
+	return core.Failed
+}
+
+// send sends the answer to one call. An answer that is not sent is for a client that has gone, or too long for the
+// memory that is left.
+func (c *conn) send(b []byte) error {
 	err := c.nc.Send(b)
 	if err != nil {
 		slog.Debug("answer not sent", "remote", c.nc.Remote(), "err", err)
@@ -217,6 +230,7 @@
 	if err == nil && c.f.core.Leaving() >= core.Behind {
 		c.nc.Leave()
 	}
+	return err
 }
 
 func appendAnswer(b []byte, id uint64, a core.Answer) []byte {
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -256,3 +256,23 @@
 		t.Errorf("%d answers counted, want the error and the refusal", n)
 	}
 }
+
+// Where the memory for answers is used up, a client is told that its request failed; the connection, with all else on
+// it, goes on, and the answer counts as what it was.
+func TestNoMemoryForAnAnswer(t *testing.T) {
+	d, dial := open(t)
+	c := dial()
+	c.call(1, "page")
+	q := <-d.got
+	told := make(chan core.Verdict, 1)
+	d.Post(func() { told <- q.Reply(core.Answer{Verdict: core.Served, Body: make([]byte, 1<<23)}) })
+	if w, _, _ := c.answer(1); w != "Failed" || <-told != core.Failed {
+		t.Errorf("error %q", w)
+	}
+	c.call(2, "page")
+	q = <-d.got
+	d.Post(func() { told <- q.Reply(core.Answer{Verdict: core.Served, Body: []byte("x")}) })
+	if w, _, _ := c.answer(2); w != "" || <-told != core.Served {
+		t.Errorf("after it: error %q", w)
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -19,7 +19,7 @@
 	"hillknot/internal/config"
 )
 
-// ErrBehind says that too many bytes are held, for this peer or for all.
+// ErrBehind says that too many bytes are held for all peers together.
 var ErrBehind = errors.New("too many bytes held")
 
 // ErrClosed says that the connection is closed.
@@ -207,16 +207,23 @@
 }
 
 // Send queues bytes, which it keeps, to be written in their order. It never blocks: a peer that reads too
-// slowly is cut off once too much waits for it.
+// slowly is cut off once too much waits for it. Where too much waits for all together, nothing is queued and the
+// connection goes on: a short word in place of a long answer can still be sent.
 func (c *Conn) Send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.last {
 		return ErrClosed
 	}
-	if c.pending > 0 && c.pending+len(b) > c.lim.Pending || !c.budget.take(len(b)) {
+	if c.pending > 0 && c.pending+len(b) > c.lim.Pending {
 		go c.Close() // not from here: closing calls back and takes the lock
-		return ErrBehind
+		return ErrClosed
+	}
+	if !c.budget.take(len(b)) {
+		if len(b) > shortWord {
+			return ErrBehind
+		}
+		c.budget.add(len(b))
 	}
 	c.queue, c.pending = append(c.queue, b), c.pending+len(b)
 	if !c.writing {
@@ -226,6 +233,12 @@
 	return nil
 }
 
+// shortWord is the length up to which a message is sent whatever else waits.
+const shortWord = 256
+
+// writePiece is how many bytes are written under one time-out, or a single message.
+const writePiece = 256 << 10
+
 // Finish sends bytes and closes the connection once all is written.
 func (c *Conn) Finish(b []byte) {
 	if err := c.Send(b); err != nil {
@@ -248,8 +261,14 @@
 func (c *Conn) write() {
 	for {
 		c.mu.Lock()
-		q := c.queue
-		c.queue = nil
+		// A piece at a time: a slow reader that reads on must not run into the time-out with all that waits.
+		n, size := 0, 0
+		for n < len(c.queue) && (n == 0 || size+len(c.queue[n]) <= writePiece) {
+			size += len(c.queue[n])
+			n++
+		}
+		q := c.queue[:n]
+		c.queue = c.queue[n:]
 		if len(q) == 0 || c.closed {
 			c.writing = false
 			if c.closed {
@@ -263,16 +282,13 @@
 			return
 		}
 		c.mu.Unlock()
-		n := 0
-		for _, b := range q {
-			n += len(b)
-		}
 		if err := c.flush(q...); err != nil {
 			c.Close()
 		}
+		clear(q) // what was written is free to go
 		c.mu.Lock()
-		c.pending -= n
-		c.budget.add(-n)
+		c.pending -= size
+		c.budget.add(-size)
 		c.mu.Unlock()
 	}
 }
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -284,3 +284,47 @@
 		t.Error("a descriptor that is not open was taken")
 	}
 }
+
+// A slow reader that reads on gets all that waits for it, though that takes far longer than one write may; one that
+// has stopped is cut off.
+func TestSlowReader(t *testing.T) {
+	short := lim
+	short.Write, short.Pending = 600*time.Millisecond, 16<<20
+	conns := make(chan *Conn, 2)
+	s, err := Listen("127.0.0.1:0", 10, short, NewBudget(32<<20), func(c *Conn) Handler { conns <- c; return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(s.Close)
+	const messages, size = 48, 240_000
+	fill := func() net.Conn {
+		nc := dial(t, s.Addr().String())
+		if err := nc.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+			t.Fatal(err)
+		}
+		c := <-conns
+		for range messages {
+			if err := c.Send(make([]byte, size)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return nc
+	}
+	slow, stopped := fill(), fill()
+	got, buf := 0, make([]byte, 128<<10)
+	for got < messages*size {
+		n, err := slow.Read(buf)
+		if err != nil {
+			t.Fatalf("after %d of %d bytes: %v", got, messages*size, err)
+		}
+		got += n
+		time.Sleep(15 * time.Millisecond)
+	}
+	for err = nil; err == nil; {
+		_, err = stopped.Read(buf)
+	}
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		t.Error("the one that stopped is still open")
+	}
+}
