--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -32,15 +33,15 @@
 	flag.Parse()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	if err := run(*path, *operator, signals, func() {}); err != nil {
+	if err := run(*path, *operator, signals, func(net.Addr) {}); err != nil {
 		slog.Error("hillknot ends", "err", err)
 		os.Exit(1)
 	}
 }
 
 // run serves until a signal to end comes and all that was taken is answered. On SIGHUP the configuration is
-// read again. It calls serving once clients are taken.
-func run(path, operator string, signals <-chan os.Signal, serving func()) error {
+// read again. It calls serving once clients are taken, with the operators' address, if there is one.
+func run(path, operator string, signals <-chan os.Signal, serving func(ops net.Addr)) error {
 	if path == "" {
 		return errors.New("no configuration: give -config or RELAY_CONFIG")
 	}
@@ -84,11 +85,13 @@
 		}
 		fronts = append(fronts, f)
 	}
+	var operators net.Addr
 	if cfg.Ops != "" {
 		f, err := ops.Listen(cfg.Ops, c, cfg.Limits)
 		if err != nil {
 			return fmt.Errorf("operators' address: %w", err)
 		}
+		operators = f.Addr()
 		fronts = append(fronts, f)
 	}
 	r := &replacement{core: c, feed: feed, up: up, front: front, budget: budget, lim: cfg.Limits}
@@ -120,7 +123,7 @@
 			defer g.Close()
 		}
 	}
-	c.Post(func() { c.Hold(false); serving() })
+	c.Post(func() { c.Hold(false); serving(operators) })
 	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
 	for {
 		select {
--- a/cmd/hillknot/main_test.go
+++ b/cmd/hillknot/main_test.go
@@ -15,9 +15,11 @@
 )
 
 const conf = `{"listen":%q,"journal":%q,"known":{"pos":7,"entries":[{"pos":7,"hosts":{"reset":true,"instances":[
-	{"instanceId":"s-1","hostPort":"127.0.0.1:9","zone":"e","lifecycle":"ready"}]}}]},"settings":{"dcs":["e"],"locality":"e",
+	{"instanceId":"s-1","hostPort":%q,"zone":"e","lifecycle":"ready"}]}}]},"settings":{"dcs":["e"],"locality":"e",
 	"profiles":[{"name":"a","deadlineUs":3000000}]}}`
 
+const nobody = "127.0.0.1:9"
+
 const nowhere = "127.0.0.1:0"
 
 // feed is a journal service of which the test sees the calls.
@@ -58,16 +60,16 @@
 			t.Fatal(err)
 		}
 	}
-	write(fmt.Sprintf(conf, nowhere, first.Addr()))
+	write(fmt.Sprintf(conf, nowhere, first.Addr(), nobody))
 	signals, ended := make(chan os.Signal, 4), make(chan error, 1)
-	go func() { ended <- run(path, "", signals, func() {}) }()
+	go func() { ended <- run(path, "", signals, func(net.Addr) {}) }()
 	if pos := called(t, first); pos != "7" {
 		t.Errorf("called from %q, want 7", pos)
 	}
 	write(`{"journal":`)
 	signals <- syscall.SIGHUP
 	first.Close()
-	write(fmt.Sprintf(conf, nowhere, second.Addr()))
+	write(fmt.Sprintf(conf, nowhere, second.Addr(), nobody))
 	signals <- syscall.SIGHUP
 	if pos := called(t, second); pos != "7" {
 		t.Errorf("called from %q after the move, want 7", pos)
@@ -99,6 +101,24 @@
 	return bytes.Contains(buf[:n], []byte{0x92, 0xc3}), n == 0
 }
 
+// inherit has the next router inherit a listener, of which it gets a descriptor of its own.
+func inherit(t *testing.T, ln net.Listener) {
+	t.Helper()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(p uintptr) {
+		fd, err := syscall.Dup(int(p))
+		if err != nil {
+			t.Error(err)
+		}
+		t.Setenv("RELAY_SOCKET_FD", strconv.Itoa(fd))
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A new process takes the place of an old one on the same socket: the old one ends by itself, its connections are
 // closed, and nobody is turned away.
 func TestReplace(t *testing.T) {
@@ -106,25 +126,13 @@
 	ln := feed(t)
 	t.Setenv("TMPDIR", t.TempDir())
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, fmt.Appendf(nil, conf, ln.Addr(), news.Addr()), 0o600); err != nil {
+	if err := os.WriteFile(path, fmt.Appendf(nil, conf, ln.Addr(), news.Addr(), nobody), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	start := func() (chan<- os.Signal, <-chan error) {
-		raw, err := ln.(*net.TCPListener).SyscallConn()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := raw.Control(func(p uintptr) {
-			fd, err := syscall.Dup(int(p))
-			if err != nil {
-				t.Error(err)
-			}
-			t.Setenv("RELAY_SOCKET_FD", strconv.Itoa(fd))
-		}); err != nil {
-			t.Fatal(err)
-		}
+		inherit(t, ln)
 		signals, ended, up := make(chan os.Signal, 4), make(chan error, 1), make(chan struct{})
-		go func() { ended <- run(path, "", signals, func() { close(up) }) }()
+		go func() { ended <- run(path, "", signals, func(net.Addr) { close(up) }) }()
 		select {
 		case <-up:
 		case err := <-ended:
