Send DNS answers over UDP without a deadline that can be over before the write

Seen: make test failed once, TestSubnets got no answer in 10 s. 24 test processes at a time: 32 tests of 144 without an answer. Cause: front.go set a write deadline of 1 ms; on a busy machine it was over before the write began, and the answer was dropped. Now: one try that does not wait; 0 of 192. A port that is free over TCP but taken over UDP is tried anew (1 of 144). Ruled out: the core and the module, which had answered.

--- a/internal/dnsfront/front.go
+++ b/internal/dnsfront/front.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hillknot/brain"
@@ -41,8 +42,20 @@
 	open atomic.Int64 // queries over UDP
 }
 
-// Listen opens the sockets, with the same port for both where the port is left open.
-func Listen(c Core, cfg config.DNS, lim config.Limits, budget *netio.Budget) (*Front, error) {
+// Listen opens the sockets, with the same port for both. Where the port is left open, one that is free over TCP may
+// be taken over UDP: then another is tried.
+func Listen(c Core, cfg config.DNS, lim config.Limits, budget *netio.Budget) (f *Front, err error) {
+	for range portTries {
+		if f, err = listen(c, cfg, lim, budget); !errors.Is(err, syscall.EADDRINUSE) || !strings.HasSuffix(cfg.Listen, ":0") {
+			break
+		}
+	}
+	return f, err
+}
+
+const portTries = 8
+
+func listen(c Core, cfg config.DNS, lim config.Limits, budget *netio.Budget) (*Front, error) {
 	f := &Front{core: c, cfg: cfg, lim: lim}
 	var err error
 	f.tcp, err = netio.Listen(cfg.Listen, lim.DNSConns, lim.DNS, budget, func(nc *netio.Conn) netio.Handler {
@@ -99,14 +112,32 @@
 			if b == nil {
 				return
 			}
-			_ = f.udp.SetWriteDeadline(time.Now().Add(time.Millisecond)) // the core may not wait for long
-			if _, err := f.udp.WriteToUDPAddrPort(b, from); err != nil {
+			if err := f.send(b, from); err != nil {
 				slog.Debug("DNS answer not sent", "to", from, "err", err)
 			}
 		})
 	}
 }
 
+// send sends a datagram, or drops it where the socket has no room: the core may not wait. A deadline would not do,
+// as it can be over before the write has begun, on a machine that is busy.
+func (f *Front) send(b []byte, to netip.AddrPort) error {
+	raw, err := f.udp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peer syscall.Sockaddr = &syscall.SockaddrInet6{Port: int(to.Port()), Addr: to.Addr().As16()}
+	if to.Addr().Is4() {
+		peer = &syscall.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().As4()}
+	}
+	var sent error
+	err = raw.Write(func(fd uintptr) bool {
+		sent = syscall.Sendto(int(fd), b, syscall.MSG_DONTWAIT, peer)
+		return true
+	})
+	return errors.Join(err, sent)
+}
+
 // conn is a resolver's connection over TCP.
 type conn struct {
 	f  *Front
