--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -285,6 +285,7 @@
 	a := b.send("t1")
 	_, silent := b.accept()
 	b.expect(silent, "ASK t1 ")
+	b.do(func() {}) // the write is over
 	b.now.Store(int64(2 * time.Second))
 	b.send("t2")
 	nc, r := b.accept()
