Give the newer of two processes three quarters of the clients' places

Cause: Shared() halved the places of the process that takes all new connections; it made slow writers give way. The old process closes idle connections over its quarter (Server.SetMax). Ruled out: the backlog (it is shared), the old one's refusals (an answer, not an end at the door).

--- a/cmd/hillknot/replace.go
+++ b/cmd/hillknot/replace.go
@@ -25,8 +25,10 @@
 	budget *netio.Budget
 	lim    config.Limits
 
-	mu            sync.Mutex
-	before, after bool // a predecessor, or a successor, is beside this process
+	mu     sync.Mutex
+	before bool // a predecessor is beside this process
+	beside bool // a process that starts is
+	after  bool // and it has taken over
 }
 
 // follow waits until this process knows what its predecessor does, and goes on from there. Where that fails it
@@ -76,7 +78,7 @@
 // Beside implements handover.Owner.
 func (r *replacement) Beside(beside, after bool) {
 	slog.Info("successor", "beside", beside, "ready", after)
-	r.share(func() { r.after = beside })
+	r.share(func() { r.beside, r.after = beside, after })
 	r.core.Post(func() { r.core.Followed(after) })
 }
 
@@ -86,8 +88,8 @@
 	defer r.mu.Unlock()
 	change()
 	lim := r.lim
-	if r.before || r.after {
-		lim = lim.Shared()
+	if r.before || r.beside {
+		lim = lim.Shared(!r.after)
 	}
 	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 3 / 4)
 	r.budget.Set(lim.HeldBytes)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -108,8 +108,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, s := c.Limits, c.Limits.Shared()
-	if 2*s.MemoryMB > l.MemoryMB || 2*s.HeldBytes > l.HeldBytes || 2*s.ClientConns > l.ClientConns || 2*s.CacheConns > l.CacheConns || s.CacheConns == 0 {
-		t.Errorf("shared %+v of %+v", s, l)
+	l, o, n := c.Limits, c.Limits.Shared(false), c.Limits.Shared(true)
+	if o.MemoryMB+n.MemoryMB > l.MemoryMB || o.HeldBytes+n.HeldBytes > l.HeldBytes || o.ClientConns+n.ClientConns > l.ClientConns ||
+		o.CacheConns+n.CacheConns > l.CacheConns || o.CacheConns == 0 || o.ClientConns == 0 {
+		t.Errorf("shared %+v and %+v of %+v", o, n, l)
 	}
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -62,8 +62,13 @@
 	Silent  time.Duration // and when nothing whole has come at all
 }
 
-// Shared returns the limits while two processes are one router: together they may hold what one may.
-func (l Limits) Shared() Limits {
-	l.MemoryMB, l.HeldBytes, l.ClientConns, l.CacheConns = l.MemoryMB/2, l.HeldBytes/2, l.ClientConns/2, l.CacheConns/2
+// Shared returns the limits while two processes are one router: together they may hold what one may. Most of the
+// clients' places go to the newer one, which takes the new connections.
+func (l Limits) Shared(newer bool) Limits {
+	places := l.ClientConns / 4
+	if newer {
+		places = l.ClientConns - places
+	}
+	l.MemoryMB, l.HeldBytes, l.ClientConns, l.CacheConns = l.MemoryMB/2, l.HeldBytes/2, places, l.CacheConns/2
 	return l
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -403,8 +403,12 @@
 	return s, nil
 }
 
-// SetMax changes how many connections may be open. What is open already stays.
-func (s *Server) SetMax(max int) { s.max.Store(int64(max)) }
+// SetMax changes how many connections may be open. Of those that are over it, the silent and the idle close.
+func (s *Server) SetMax(max int) {
+	s.max.Store(int64(max))
+	for s.open.Load()-s.going.Load() > int64(max) && s.evict(restIdle) {
+	}
+}
 
 // Conns is how many connections are open.
 func (s *Server) Conns() int { return int(s.open.Load()) }
@@ -480,7 +484,7 @@
 		runtime.Gosched()
 		n = s.open.Load()
 	}
-	if n > bound || n-s.going.Load() > most && !s.evict() {
+	if n > bound || n-s.going.Load() > most && !s.evict(restMoving) {
 		s.open.Add(-1)
 		return context.Background() // it is closed in opened: here netpoll has yet to set it up
 	}
@@ -514,11 +518,11 @@
 // evict closes a connection that owes nothing to make room for a new one. It guards against peers that connect by
 // thousands and hold on, which would else keep all others out. Those that never said anything for some time go
 // first, then those that idle, then those that have stopped in the middle of a message, as a slow writer does too, last
-// those that are still at it; of each, the one on which nothing has moved for longest. It runs on the poller's goroutine alone.
-func (s *Server) evict() bool {
+// those that are still at it; of each, the one on which nothing has moved for longest. Those that rest less than last stay.
+func (s *Server) evict(last int) bool {
 	var worst *Conn
 	var most time.Duration
-	first := restMoving + 1
+	first := last + 1
 	now, pause := time.Now(), s.lim.Silent/8
 	s.conns.Range(func(k, _ any) bool {
 		c := k.(*Conn)
@@ -543,7 +547,7 @@
 	if worst == nil {
 		return false
 	}
-	if !worst.evicted.Swap(true) { // else it has closed by itself
+	if !worst.evicted.Swap(true) { // else it has closed by itself, or another was quicker
 		s.going.Add(1)
 		worst.Close()
 	}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -233,6 +233,36 @@
 func (e ender) Take(buf []byte) (int, int, error) { return len(buf), 0, nil }
 func (e ender) Closed()                           { close(e.ended) }
 
+// Fewer places than before: those that idle close, those that are owed something and those that write stay.
+func TestFewerPlaces(t *testing.T) {
+	conns := make(chan *Conn, 10)
+	s, err := Listen("127.0.0.1:0", 10, lim, NewBudget(1<<20), func(c *Conn) Handler { conns <- c; return lines{echo{c}} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(s.Close)
+	owed, half := dial(t, s.Addr().String()), dial(t, s.Addr().String())
+	(<-conns).Owe(1)
+	half.Write([]byte("h"))
+	for range 6 {
+		echoed(t, dial(t, s.Addr().String()))
+	}
+	for c := <-conns; c.half.Load() == 0; time.Sleep(time.Millisecond) { // until the half message has come in
+	}
+	s.SetMax(1)
+	for end := time.Now().Add(20 * time.Second); s.Conns() > 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections", s.Conns())
+		}
+	}
+	echoed(t, owed)
+	half.Write([]byte("i\n"))
+	if n, err := half.Read(make([]byte, 3)); n == 0 {
+		t.Errorf("the one that was writing: %v", err)
+	}
+}
+
 // Two servers on one socket, as two processes that inherited it: one stops accepting, and what it had goes on. New
 // connections come to the other, none is turned away.
 func TestInherited(t *testing.T) {
