Move MessagePack-RPC's messages to a package of its own, with the client's side

Need: the client library speaks the same wire as the front; it is not to be written twice. Change: internal/rpcwire holds the parser of calls as it was, and beside it answers as a client reads them (the head up to the body, then the tail, so that a body needs no second copy) and calls as it writes them. The length of a body is checked before anything is allocated for it.

--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -13,6 +13,7 @@
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/netio"
+	"hillknot/internal/rpcwire"
 )
 
 // Core is what the front submits to. Its methods Submit, Withdraw and Count are called on the core's goroutine.
@@ -81,7 +82,7 @@
 // Take implements netio.Handler.
 func (c *conn) Take(buf []byte) (used, want int, err error) {
 	for {
-		m, n, want, err := parse(buf[used:], c.f.lim.Message)
+		m, n, want, err := rpcwire.Parse(buf[used:], c.f.lim.Message)
 		if err != nil {
 			slog.Debug("client connection closed", "remote", c.nc.Remote(), "err", err)
 		}
@@ -103,48 +104,48 @@
 	})
 }
 
-func (c *conn) message(m message) {
+func (c *conn) message(m rpcwire.Message) {
 	switch {
-	case m.kind == noticeKind:
-		if string(m.method) == "cancel" {
-			c.f.core.Post(func() { c.cancel(m.ids) })
+	case m.Kind == rpcwire.Notice:
+		if string(m.Method) == "cancel" {
+			c.f.core.Post(func() { c.cancel(m.IDs) })
 		}
-	case string(m.method) == "health":
+	case string(m.Method) == "health":
 		c.nc.Owe(1)
-		c.f.core.Post(func() { _ = c.send(appendHealth(nil, m.id, c.f.core.Snapshot().Phase == core.Serving)) })
+		c.f.core.Post(func() { _ = c.send(rpcwire.AppendHealth(nil, m.ID, c.f.core.Snapshot().Phase == core.Serving)) })
 	default:
 		c.nc.Owe(1)
 		q, word := c.request(m)
-		c.f.core.Post(func() { c.submit(m.id, q, word) })
+		c.f.core.Post(func() { c.submit(m.ID, q, word) })
 	}
 }
 
 // request turns a call into a request, or names the error that answers it. What it keeps is copied.
-func (c *conn) request(m message) (q core.Request, word string) {
-	class, ok := c.f.classes[string(m.method)]
+func (c *conn) request(m rpcwire.Message) (q core.Request, word string) {
+	class, ok := c.f.classes[string(m.Method)]
 	if !ok {
-		return q, "NoSuchMethod"
+		return q, rpcwire.NoSuchMethod
 	}
 	q.Class = class.Name
-	f := m.fields
-	limit, limitOK := number(f.limit, 31)
-	object, objectOK := hexID(f.item)
-	part, partOK := number(f.nth, 63)
-	group, groupOK := number(f.batch, 8)
-	_, txnOK := hexID(f.txn)
-	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.limit) == 0 || !tag(f.got) {
-		return q, "BadRequest"
+	f := m.Fields
+	limit, limitOK := number(f.Limit, 31)
+	object, objectOK := hexID(f.Item)
+	part, partOK := number(f.Nth, 63)
+	group, groupOK := number(f.Batch, 8)
+	_, txnOK := hexID(f.Txn)
+	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) {
+		return q, rpcwire.BadRequest
 	}
 	wait := time.Duration(limit) * time.Millisecond
-	if class.Deadline > 0 && wait > class.Deadline || len(m.body) > c.f.lim.WriteBody {
-		return q, "BadRequest" // no client of the class waits so long or brings so much
+	if class.Deadline > 0 && wait > class.Deadline || len(m.Body) > c.f.lim.WriteBody {
+		return q, rpcwire.BadRequest // no client of the class waits so long or brings so much
 	}
-	nth := string(f.nth)
+	nth := string(f.Nth)
 	if nth == "" {
 		nth = "0"
 	}
-	return core.Request{Txn: string(f.txn), Item: string(f.item), Nth: nth, Class: string(m.method), Object: object,
-		Part: part, Group: group, Limit: wait, Holds: string(f.got), Body: bytes.Clone(m.body), Write: class.Write}, ""
+	return core.Request{Txn: string(f.Txn), Item: string(f.Item), Nth: nth, Class: string(m.Method), Object: object,
+		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write}, ""
 }
 
 // number reads a whole number; an absent one is 0.
@@ -183,10 +184,10 @@
 			return
 		}
 		c.f.core.Count(q.Class, core.Failed)
-		_ = c.send(appendError(nil, msg, word, "", ""))
+		_ = c.send(rpcwire.AppendError(nil, msg, word, "", ""))
 	case len(c.open) >= c.f.lim.OpenPerConn || c.f.budget.Full():
 		c.f.core.Count(q.Class, core.Refused)
-		_ = c.send(appendError(nil, msg, "Throttled", "", ""))
+		_ = c.send(rpcwire.AppendError(nil, msg, rpcwire.Throttled, "", ""))
 	default:
 		id := c.f.core.NewID()
 		c.open[msg] = id
@@ -215,7 +216,7 @@
 		return a.Verdict
 	}
 	c.nc.Owe(1) // the answer is still owed
-	_ = c.send(appendError(nil, msg, "Failed", "", ""))
+	_ = c.send(rpcwire.AppendError(nil, msg, "Failed", "", ""))
 	return core.Failed
 }
 
@@ -236,14 +237,14 @@
 func appendAnswer(b []byte, id uint64, a core.Answer) []byte {
 	switch a.Verdict {
 	case core.Served:
-		return appendServed(make([]byte, 0, len(a.Body)+32), id, a.Body, "", "")
+		return rpcwire.AppendServed(make([]byte, 0, len(a.Body)+32), id, a.Body, "", "")
 	case core.Unchanged:
-		return appendServed(b, id, nil, "ok304", "1")
+		return rpcwire.AppendServed(b, id, nil, "ok304", "1")
 	case core.Refused:
 		if ms := a.Wait.Milliseconds(); ms > 0 {
-			return appendError(b, id, "Throttled", "later", strconv.FormatInt(ms, 10))
+			return rpcwire.AppendError(b, id, rpcwire.Throttled, "later", strconv.FormatInt(ms, 10))
 		}
-		return appendError(b, id, "Throttled", "", "")
+		return rpcwire.AppendError(b, id, rpcwire.Throttled, "", "")
 	}
-	return appendError(b, id, a.Reason, "", "")
+	return rpcwire.AppendError(b, id, a.Reason, "", "")
 }
--- /dev/null
+++ b/internal/rpcwire/client.go
@@ -0,0 +1,218 @@
+package rpcwire
+
+import (
+	"errors"
+	"math"
+	"strconv"
+)
+
+// The errors that a router words.
+const (
+	Throttled    = "Throttled"    // refused: trying again is harmless
+	BadRequest   = "BadRequest"   // what was asked can't be used; it never ran
+	NoSuchMethod = "NoSuchMethod" // there is no such class; it never ran
+)
+
+// What an answer brings.
+type What uint8
+
+// The kinds of answers.
+const (
+	Bytes  What = iota // the request was served
+	Error              // it was not
+	Health             // the router tells whether it takes clients
+)
+
+// Head is an answer up to its body. Its slices are of the buffer that it was read from.
+type Head struct {
+	ID     uint64
+	What   What
+	Body   int    // of Bytes: how many follow the head; then comes the tail
+	Word   []byte // of Error
+	Ready  bool   // of Health
+	Fields Fields
+}
+
+// Unchanged tells whether the copy that the client holds is the one.
+func (f Fields) Unchanged() bool { return string(f.OK304) == "1" }
+
+// Wait is how long, in milliseconds, a refused client is told to stay away; 0 where it is not told, or nonsense.
+func (f Fields) Wait() int {
+	n, err := strconv.ParseUint(string(f.Later), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+// ParseHead reads an answer up to its body, or the whole of one without. It returns the length of that, or 0 where
+// it is not there yet, with the length that is needed, as far as that is known. A head over max bytes, or a body
+// over maxBody, is malformed: the length is told before anything is allocated for it.
+func ParseHead(buf []byte, max, maxBody int) (h Head, n, want int, err error) {
+	d := decoder{b: buf}
+	err = d.head(&h)
+	if err == nil && h.Body > maxBody {
+		err = ErrMalformed
+	}
+	n, want, err = d.end(max, err)
+	if n == 0 {
+		h = Head{}
+	}
+	return h, n, want, err
+}
+
+// ParseTail reads the fields behind a body.
+func ParseTail(buf []byte, max int) (f Fields, n, want int, err error) {
+	d := decoder{b: buf}
+	n, want, err = d.end(max, d.fields(&f))
+	if n == 0 {
+		f = Fields{}
+	}
+	return f, n, want, err
+}
+
+// end tells how the parsing of something of at most max bytes came out.
+func (d *decoder) end(max int, err error) (n, want int, _ error) {
+	switch {
+	case errors.Is(err, errShort) && d.want <= max && len(d.b) < max:
+		return 0, d.want, nil
+	case err != nil || d.i > max:
+		return 0, 0, ErrMalformed
+	}
+	return d.i, 0, nil
+}
+
+func (d *decoder) head(h *Head) error {
+	n, err := d.list()
+	if err != nil {
+		return err
+	}
+	kind, err := d.uint()
+	if err != nil {
+		return err
+	}
+	if kind != Answer || n != 4 {
+		return ErrMalformed
+	}
+	if h.ID, err = d.uint(); err == nil && h.ID > math.MaxUint32 {
+		err = ErrMalformed
+	}
+	if err != nil {
+		return err
+	}
+	c, err := d.peek()
+	if err != nil {
+		return err
+	}
+	if c != 0xc0 {
+		return d.failure(h)
+	}
+	d.i++
+	if n, err = d.list(); err == nil && n != 2 {
+		err = ErrMalformed
+	}
+	if err == nil {
+		c, err = d.peek()
+	}
+	if err != nil {
+		return err
+	}
+	if c == 0xc2 || c == 0xc3 {
+		d.i++
+		h.What, h.Ready = Health, c == 0xc3
+		return d.fields(&h.Fields)
+	}
+	h.Body, err = d.size()
+	return err
+}
+
+// failure reads an error, [WORD, FIELDS] or the word alone, and the result beside it, which says nothing.
+func (d *decoder) failure(h *Head) error {
+	h.What = Error
+	c, err := d.peek()
+	if err != nil {
+		return err
+	}
+	n := 1
+	if c&0xf0 == 0x90 || c == 0xdc || c == 0xdd {
+		if n, err = d.list(); err == nil && (n < 1 || n > 2) {
+			err = ErrMalformed
+		}
+	}
+	if err == nil {
+		h.Word, err = d.bytes()
+	}
+	if err == nil && n == 2 {
+		err = d.fields(&h.Fields)
+	}
+	if err == nil {
+		err = d.skip(maxDepth)
+	}
+	return err
+}
+
+// Request is what a client's call carries.
+type Request struct {
+	Method string
+	Txn    uint64
+	Limit  int64 // milliseconds
+	Second bool  // this is a client's retry
+	Item   uint64
+	Nth    uint64
+	Batch  uint8
+	Got    string // tag of the copy that the client holds; empty: none
+	Body   []byte
+}
+
+// AppendCall appends a client's request.
+func AppendCall(b []byte, id uint64, q *Request) []byte {
+	fields := byte(5)
+	if q.Second {
+		fields++
+	}
+	if q.Got != "" {
+		fields++
+	}
+	b = appendText(appendUint(append(b, 0x94, Call), id), q.Method)
+	b = appendText(append(b, 0x92, 0x80|fields), "txn")
+	b = appendText(appendHex(b, q.Txn), "limit")
+	b = appendText(appendDecimal(b, uint64(max(q.Limit, 0))), "item")
+	b = appendText(appendHex(b, q.Item), "nth")
+	b = appendText(appendDecimal(b, q.Nth), "batch")
+	b = appendDecimal(b, uint64(q.Batch))
+	if q.Second {
+		b = appendText(appendText(b, "second"), "1")
+	}
+	if q.Got != "" {
+		b = appendText(appendText(b, "got"), q.Got)
+	}
+	return append(appendBinHead(b, len(q.Body)), q.Body...)
+}
+
+// AppendCancel appends the notice that a client no longer waits for the answer under an id.
+func AppendCancel(b []byte, id uint64) []byte {
+	return appendUint(append(appendText(append(b, 0x93, Notice), "cancel"), 0x91), id)
+}
+
+// AppendHealthCall appends the question whether a router takes clients.
+func AppendHealthCall(b []byte, id uint64) []byte {
+	return append(appendText(appendUint(append(b, 0x94, Call), id), "health"), 0x91, 0x80)
+}
+
+// appendHex appends the text of 16 hex digits.
+func appendHex(b []byte, v uint64) []byte {
+	const digits = "0123456789abcdef"
+	b = append(b, 0xa0|16)
+	for shift := 60; shift >= 0; shift -= 4 {
+		b = append(b, digits[v>>shift&15])
+	}
+	return b
+}
+
+// appendDecimal appends the text of a number, which is never longer than 20 digits.
+func appendDecimal(b []byte, v uint64) []byte {
+	at := len(b)
+	b = strconv.AppendUint(append(b, 0), v, 10)
+	b[at] = 0xa0 | byte(len(b)-at-1)
+	return b
+}
--- a/internal/msgrpc/codec.go
+++ b/internal/rpcwire/codec.go
@@ -1,4 +1,6 @@
-package msgrpc
+// Package rpcwire is the MessagePack-RPC that clients and routers speak: what a router reads and answers, and what a
+// client asks and reads. It holds no state and does no I/O; what it returns are slices of the buffer that it read.
+package rpcwire
 
 import (
 	"encoding/binary"
@@ -9,64 +11,64 @@
 // errShort says that the message is not whole yet; every other error, that it never will be a message.
 var (
 	errShort = errors.New("message is cut")
-	errBad   = errors.New("malformed message")
+	// ErrMalformed says that the bytes are no message and never will be one.
+	ErrMalformed = errors.New("malformed message")
 )
 
 // The kinds of messages.
 const (
-	callKind   = 0
-	answerKind = 1
-	noticeKind = 2
+	Call   = 0
+	Answer = 1
+	Notice = 2
 )
 
 const maxDepth = 8 // of what is skipped
 
-// message is a call or a notification. Its slices are of the buffer that it was read from.
-type message struct {
-	kind   uint64
-	id     uint64
-	method []byte
-	params int // how many there are
-	fields fieldSet
-	body   []byte
-	ids    []uint64 // whole numbers among the parameters
+// Message is a call or a notification. Its slices are of the buffer that it was read from.
+type Message struct {
+	Kind   uint64
+	ID     uint64
+	Method []byte
+	Params int // how many there are
+	Fields Fields
+	Body   []byte
+	IDs    []uint64 // whole numbers among the parameters
 }
 
-// fieldSet are the fields that the front knows.
-type fieldSet struct{ txn, limit, item, nth, batch, got []byte }
+// Fields are the known fields of a call and, the last two, of an answer.
+type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, OK304, Later []byte }
 
-func (f *fieldSet) slot(name []byte) *[]byte {
+func (f *Fields) slot(name []byte) *[]byte {
 	switch string(name) {
 	case "txn":
-		return &f.txn
+		return &f.Txn
 	case "limit":
-		return &f.limit
+		return &f.Limit
 	case "item":
-		return &f.item
+		return &f.Item
 	case "nth":
-		return &f.nth
+		return &f.Nth
 	case "batch":
-		return &f.batch
+		return &f.Batch
 	case "got":
-		return &f.got
+		return &f.Got
+	case "ok304":
+		return &f.OK304
+	case "later":
+		return &f.Later
 	}
 	return nil
 }
 
-// parse reads the message at the start of buf. It returns its length, or 0 where it is not whole yet, with
+// Parse reads the message at the start of buf. It returns its length, or 0 where it is not whole yet, with
 // the length that is needed, as far as that is known.
-func parse(buf []byte, max int) (m message, n, want int, err error) {
+func Parse(buf []byte, max int) (m Message, n, want int, err error) {
 	d := decoder{b: buf}
-	err = d.message(&m)
-	switch {
-	case errors.Is(err, errShort) && d.want <= max && len(buf) < max:
-		return message{}, 0, d.want, nil
-	case err != nil:
-		return message{}, 0, 0, errBad
-	case d.i > max:
-		return message{}, 0, 0, errBad
+	n, want, err = d.end(max, d.message(&m))
+	if n == 0 {
+		m = Message{}
 	}
-	return m, d.i, 0, nil
+	return m, n, want, err
 }
 
 // decoder reads MessagePack from a buffer that may end anywhere.
@@ -76,33 +78,33 @@
 	want int
 }
 
-func (d *decoder) message(m *message) error {
+func (d *decoder) message(m *Message) error {
 	n, err := d.list()
 	if err != nil {
 		return err
 	}
-	if m.kind, err = d.uint(); err != nil {
+	if m.Kind, err = d.uint(); err != nil {
 		return err
 	}
 	switch {
-	case m.kind == callKind && n == 4:
-		if m.id, err = d.uint(); err == nil && m.id > math.MaxUint32 {
-			err = errBad
+	case m.Kind == Call && n == 4:
+		if m.ID, err = d.uint(); err == nil && m.ID > math.MaxUint32 {
+			err = ErrMalformed
 		}
 		if err != nil {
 			return err
 		}
-	case m.kind == noticeKind && n == 3:
+	case m.Kind == Notice && n == 3:
 	default:
-		return errBad
+		return ErrMalformed
 	}
-	if m.method, err = d.bytes(); err != nil {
+	if m.Method, err = d.bytes(); err != nil {
 		return err
 	}
-	if m.params, err = d.list(); err != nil {
+	if m.Params, err = d.list(); err != nil {
 		return err
 	}
-	for range m.params {
+	for range m.Params {
 		if err := d.param(m); err != nil {
 			return err
 		}
@@ -111,25 +113,26 @@
 }
 
 // param reads one parameter: a map holds fields, bytes are the body.
-func (d *decoder) param(m *message) error {
+func (d *decoder) param(m *Message) error {
 	c, err := d.peek()
 	switch {
 	case err != nil:
 		return err
 	case c&0xf0 == 0x80, c == 0xde, c == 0xdf:
-		return d.fields(&m.fields)
+		return d.fields(&m.Fields)
 	case c&0xe0 == 0xa0, c >= 0xc4 && c <= 0xc6, c >= 0xd9 && c <= 0xdb:
-		m.body, err = d.bytes()
+		m.Body, err = d.bytes()
 		return err
 	case c < 0x80, c >= 0xcc && c <= 0xcf:
 		id, err := d.uint()
-		m.ids = append(m.ids, id)
+		m.IDs = append(m.IDs, id)
 		return err
 	}
 	return d.skip(maxDepth)
 }
 
-func (d *decoder) fields(f *fieldSet) error {
+// fields reads a map and puts the values that have a slot there.
+func (d *decoder) fields(f *Fields) error {
 	n, err := d.count(0x80, 0x0f, 0xde, 0xdf)
 	if err != nil {
 		return err
@@ -192,7 +195,7 @@
 		d.i++
 		return d.be(1 << (c - 0xcc))
 	}
-	return 0, errBad
+	return 0, ErrMalformed
 }
 
 // count reads the head of a list or a map: a short form under a mask, or 2 or 4 bytes.
@@ -209,7 +212,7 @@
 	case c == four:
 		size = 4
 	case c&^mask != short:
-		return 0, errBad
+		return 0, ErrMalformed
 	}
 	if size > 0 {
 		if n, err = d.be(size); err != nil {
@@ -217,7 +220,7 @@
 		}
 	}
 	if n > math.MaxInt32 {
-		return 0, errBad
+		return 0, ErrMalformed
 	}
 	return int(n), nil
 }
@@ -226,10 +229,19 @@
 
 // bytes reads a string or bytes, which clients' libraries don't always tell apart.
 func (d *decoder) bytes() ([]byte, error) {
-	c, err := d.peek()
+	n, err := d.size()
 	if err != nil {
 		return nil, err
 	}
+	return d.next(n)
+}
+
+// size reads the head of a string or of bytes.
+func (d *decoder) size() (int, error) {
+	c, err := d.peek()
+	if err != nil {
+		return 0, err
+	}
 	d.i++
 	n, size := uint64(c&0x1f), 0
 	switch {
@@ -239,17 +251,17 @@
 	case c >= 0xd9 && c <= 0xdb:
 		size = 1 << (c - 0xd9)
 	default:
-		return nil, errBad
+		return 0, ErrMalformed
 	}
 	if size > 0 {
 		if n, err = d.be(size); err != nil {
-			return nil, err
+			return 0, err
 		}
 	}
 	if n > math.MaxInt32 {
-		return nil, errBad
+		return 0, ErrMalformed
 	}
-	return d.next(int(n))
+	return int(n), nil
 }
 
 // skip passes over any value.
@@ -259,7 +271,7 @@
 		return err
 	}
 	if depth == 0 {
-		return errBad
+		return ErrMalformed
 	}
 	values, size := 0, 0
 	switch {
@@ -282,11 +294,11 @@
 		d.i++
 		var n uint64
 		if n, err = d.be(1 << (c - 0xc7)); n > math.MaxInt32 {
-			err = errBad
+			err = ErrMalformed
 		}
 		size = int(n) + 1
 	case c == 0xc1:
-		err = errBad
+		err = ErrMalformed
 	default:
 		_, err = d.bytes()
 	}
@@ -343,20 +355,23 @@
 
 // appendHead appends the start of an answer up to its id; error and result follow.
 func appendHead(b []byte, id uint64) []byte {
-	return appendUint(append(b, 0x94, answerKind), id)
+	return appendUint(append(b, 0x94, Answer), id)
 }
 
-func appendServed(b []byte, id uint64, body []byte, name, value string) []byte {
+// AppendServed appends the answer that brings the bytes, with one field or, without a name, none.
+func AppendServed(b []byte, id uint64, body []byte, name, value string) []byte {
 	b = appendBinHead(append(appendHead(b, id), 0xc0, 0x92), len(body))
 	return appendPair(append(b, body...), name, value)
 }
 
-func appendError(b []byte, id uint64, word, name, value string) []byte {
+// AppendError appends the answer that the request was not served, with one field or none.
+func AppendError(b []byte, id uint64, word, name, value string) []byte {
 	b = appendPair(appendText(append(appendHead(b, id), 0x92), word), name, value)
 	return append(b, 0xc0)
 }
 
-func appendHealth(b []byte, id uint64, ok bool) []byte {
+// AppendHealth appends the answer to a call for health.
+func AppendHealth(b []byte, id uint64, ok bool) []byte {
 	b = append(appendHead(b, id), 0xc0, 0x92, 0xc2)
 	if ok {
 		b[len(b)-1] = 0xc3
