--- /dev/null
+++ b/internal/standin/router.go
@@ -0,0 +1,80 @@
+package standin
+
+import (
+	"bytes"
+	"net"
+	"strconv"
+	"sync"
+
+	"hillknot/internal/rpcwire"
+)
+
+// Router plays an edge router: what it does with each message is scripted.
+type Router struct {
+	*listener
+	handle func(*Peer, rpcwire.Message)
+}
+
+// Peer is a client's connection to a scripted router.
+type Peer struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+// NewRouter listens. Handle is called for each message of a connection in turn, with slices of its own.
+func NewRouter(addr string, handle func(*Peer, rpcwire.Message)) (*Router, error) {
+	r := &Router{handle: handle}
+	var err error
+	r.listener, err = listen(addr, r.serve)
+	return r, err
+}
+
+func (r *Router) serve(nc net.Conn) {
+	p, buf, in := &Peer{Conn: nc}, []byte(nil), make([]byte, 64<<10)
+	for {
+		n, err := nc.Read(in)
+		if err != nil {
+			return
+		}
+		buf = append(buf, in[:n]...)
+		for {
+			m, used, _, err := rpcwire.Parse(buf, 1<<20)
+			if err != nil {
+				return
+			}
+			if used == 0 {
+				break
+			}
+			buf = bytes.Clone(buf[used:]) // what was handed on stays as it is
+			r.handle(p, m)
+		}
+	}
+}
+
+// Raw sends bytes as they are.
+func (p *Peer) Raw(b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = p.Write(b) // a client that has gone reads nothing
+}
+
+// Serve answers with bytes.
+func (p *Peer) Serve(id uint64, body []byte) { p.Raw(rpcwire.AppendServed(nil, id, body, "", "")) }
+
+// Fail answers with an error.
+func (p *Peer) Fail(id uint64, word string) { p.Raw(rpcwire.AppendError(nil, id, word, "", "")) }
+
+// Refuse answers with a refusal, and how many milliseconds to stay away if that is over 0.
+func (p *Peer) Refuse(id uint64, later int) {
+	if later <= 0 {
+		p.Fail(id, rpcwire.Throttled)
+		return
+	}
+	p.Raw(rpcwire.AppendError(nil, id, rpcwire.Throttled, "later", strconv.Itoa(later)))
+}
+
+// Health answers whether the router takes clients.
+func (p *Peer) Health(id uint64, ok bool) { p.Raw(rpcwire.AppendHealth(nil, id, ok)) }
+
+// End closes the connection, with a reset if that is asked for.
+func (p *Peer) End(reset bool) { end(p.Conn, reset) }
