--- a/client/policy/limits.go
+++ b/client/policy/limits.go
@@ -58,10 +58,9 @@
 type throttle struct {
 	set    *Settings
 	rnd    *rand.Rand
-	seen   sums // ended calls and those refused here, those accepted by routers
-	streak int  // accepted one after the other
-	probed time.Duration
-	probes int           // under way
+	seen   sums          // ended calls and those refused here, those accepted by routers
+	streak int           // accepted one after the other
+	probed time.Duration // when a call was last let through for that alone
 	from   time.Duration // when the ramp began; 0: there is none
 }
 
@@ -80,32 +79,25 @@
 	return max(0, (t.seen.a-t.set.ThrottleOver*t.seen.b)/(t.seen.a+1))
 }
 
-// admit tells whether a new call may go on, and whether it does so as a probe.
-func (t *throttle) admit(now time.Duration) (admitted, probe bool) {
+// admit tells whether a new call may go on.
+func (t *throttle) admit(now time.Duration) bool {
 	over := t.excess(now)
 	if over <= 0 || t.rnd.Float64() >= over {
-		return true, false
+		return true
 	}
-	if now >= t.probed+t.set.ProbeEvery && t.probes == 0 || now >= t.probed+10*t.set.ProbeEvery {
+	if now >= t.probed+t.set.ProbeEvery {
 		t.probed = now
-		t.probes++
-		return true, true
+		return true
 	}
 	t.seen.add(now, t.set.ThrottleWindow, 1, 0)
-	return false, false
+	return false
 }
 
 // steady tells whether nothing is refused here now.
 func (t *throttle) steady(now time.Duration) bool { return t.excess(now) <= 0 }
 
-// lost takes back a probe that ended without an answer.
-func (t *throttle) lost() { t.probes = max(t.probes-1, 0) }
-
 // answered takes a router's answer to a call.
-func (t *throttle) answered(now time.Duration, accepted, probe bool) {
-	if probe {
-		t.lost()
-	}
+func (t *throttle) answered(now time.Duration, accepted bool) {
 	if !accepted {
 		t.streak, t.from = 0, 0
 		t.seen.add(now, t.set.ThrottleWindow, 1, 0)
--- a/client/policy/policy.go
+++ b/client/policy/policy.go
@@ -82,7 +82,6 @@
 	maybeRan bool
 	fixed    bool // must not be tried again
 	crossed  bool // has gone again after it crossed a router's close
-	probe    bool
 	counted  bool // as waiting
 	written  bool // the latest try may have gone out
 	conn     *Conn
@@ -188,10 +187,8 @@
 	c.wake = wake{call: c, index: -1}
 	p.counts.Calls++
 	p.budget.first(now)
-	admitted, probe := p.throttle.admit(now)
-	c.probe = probe
 	switch {
-	case !admitted:
+	case !p.throttle.admit(now):
 		p.counts.RefusedLocally++
 		p.finish(c, End{Verdict: Refused, Local: true, Wait: p.comeBack()})
 	case p.waiting >= p.set.Waiting:
@@ -276,8 +273,7 @@
 	c.conn.asked = 0
 	p.leave(c)
 	took := now - c.sent
-	p.throttle.answered(now, res != Turned, c.probe)
-	c.probe = false
+	p.throttle.answered(now, res != Turned)
 	r.answered(now, took, res)
 	switch res {
 	case Good:
@@ -332,9 +328,6 @@
 	if e.Verdict == Served {
 		e.MayHaveRun = false
 	}
-	if c.probe { // it ended without an answer
-		p.throttle.lost()
-	}
 	p.do(Action{Op: Finish, Call: c, End: e})
 }
 
