--- a/client/policy/policy_test.go
+++ b/client/policy/policy_test.go
@@ -433,7 +433,7 @@
 		t.Errorf("%d of 4 routers are out of the choice", out)
 	}
 	// A retry goes to another router, also where that is slower.
-	w = newWorld(t, 2, nil)
+	w = newWorld(t, 2, func(s *Settings) { s.EjectAfter = 100 })
 	w.routers[1].answer = served(200 * ms)
 	w.load(20*ms, time.Second)
 	w.routers[0].answer = func() (time.Duration, Result, time.Duration) { return ms, Broke, 0 }
