Add sub-commands on cobra: get, send, health, config check; structured logging

Need: tools and scripts want the client library on the command line, with statuses that say what they may do next.

--- a/client/client.go
+++ b/client/client.go
@@ -66,6 +66,9 @@
 // Rewinder is a Request.To that can forget what it was given.
 type Rewinder interface{ Rewind() error }
 
+// Sizer is a Request.To that wants to know how long an answer is before it comes.
+type Sizer interface{ Size(bytes int) }
+
 // Response is the answer to a request that was served.
 type Response struct {
 	Body      []byte // unless the request had To
@@ -263,7 +266,7 @@
 // pass hands on what has come of an answer. An answer that begins anew is handed over from its start.
 func (c *Client) pass(q *call, handed, try int) (int, int, error) {
 	c.mu.Lock()
-	body, now := q.body[:q.have], q.try
+	body, now := q.body[:q.have], q.try // the rest of it is being filled meanwhile
 	_, again := q.req.To.(Rewinder)
 	if len(body) > 0 {
 		q.written = true
@@ -281,6 +284,9 @@
 	if handed == len(body) {
 		return handed, now, nil
 	}
+	if s, ok := q.req.To.(Sizer); ok && handed == 0 {
+		s.Size(cap(body))
+	}
 	n, err := q.req.To.Write(body[handed:])
 	if err == nil && n < len(body)-handed {
 		err = io.ErrShortWrite
--- /dev/null
+++ b/cmd/hillknot/check.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"hillknot/internal/config"
+)
+
+func configCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "config", Short: "Work with configuration files", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return usage{fmt.Errorf("config wants a sub-command")} }}
+	var operator string
+	check := &cobra.Command{
+		Use: "check FILE", Short: "Check a configuration: print every faulty key", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := config.Load(args[0], operator)
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: well\n", args[0])
+				return nil
+			}
+			for _, e := range config.Faults(err) {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %v\n", args[0], e)
+			}
+			return exit(exitOther)
+		},
+	}
+	check.Flags().StringVar(&operator, "operator", os.Getenv("HILLKNOT_OPERATOR"), "the operator's `FILE`, whose keys go over the other's")
+	cmd.AddCommand(check)
+	return cmd
+}
--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -1,190 +1,142 @@
-// Command hillknot is one edge router. Its configuration is the file named by -config or RELAY_CONFIG.
+// Command hillknot is one edge router, and what its clients and operators do with it on the command line.
+// Called without a sub-command it is the router: its configuration is the file named by -config or RELAY_CONFIG.
 package main
 
 import (
 	"errors"
-	"flag"
 	"fmt"
+	"io"
 	"log/slog"
-	"net"
 	"os"
-	"os/signal"
 	"runtime"
-	"syscall"
-	"time"
-
-	"github.com/cloudwego/netpoll"
-
-	"hillknot/internal/agentcheck"
-	"hillknot/internal/cachewire"
-	"hillknot/internal/config"
-	"hillknot/internal/core"
-	"hillknot/internal/dnsfront"
-	"hillknot/internal/handover"
-	"hillknot/internal/journal"
-	"hillknot/internal/msgrpc"
-	"hillknot/internal/netio"
-	"hillknot/internal/ops"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 )
 
-func main() {
-	path := flag.String("config", os.Getenv("RELAY_CONFIG"), "the configuration `file`")
-	operator := flag.String("operator", os.Getenv("HILLKNOT_OPERATOR"), "a `file` with further keys, such as deploy/operator.json")
-	flag.Parse()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	if err := run(*path, *operator, signals, func(net.Addr) {}); err != nil {
-		slog.Error("hillknot ends", "err", err)
-		os.Exit(1)
-	}
+// version is that of the latest entry of CHANGELOG.md.
+const version = "0.9.0"
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// The exit statuses. What a request came to is told apart, so that scripts know what they may do next.
+const (
+	exitServed      = 0
+	exitOther       = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitNotRun      = 4
+	exitMayHaveRun  = 5
+	exitDeadlineOut = 6
+)
+
+// exit ends a command with a status, and an error that has been told already.
+type exit int
+
+func (e exit) Error() string { return fmt.Sprintf("exit status %d", int(e)) }
+
+// usage marks an error as one of how the command was called.
+type usage struct{ error }
+
+func (u usage) Unwrap() error { return u.error }
+
+// command carries out a command line and returns its exit status.
+func command(args []string, out, errs io.Writer) int {
+	ran := false
+	root := rootCommand(&ran)
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.SetArgs(longFlags(root, args))
+	cmd, err := root.ExecuteC()
+	var status exit
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &status):
+		return int(status)
+	case ran && !errors.As(err, new(usage)):
+		slog.Error(strings.TrimSpace("hillknot "+strings.TrimPrefix(cmd.CommandPath(), "hillknot"))+" ends", "err", err)
+		return exitOther
+	}
+	fmt.Fprintf(errs, "hillknot: %v\nsee: %s --help\n", err, cmd.CommandPath())
+	return exitUsage
 }
 
-// run serves until a signal to end comes and all that was taken is answered. On SIGHUP the configuration is
-// read again. It calls serving once clients are taken, with the operators' address, if there is one.
-func run(path, operator string, signals <-chan os.Signal, serving func(ops net.Addr)) error {
-	if path == "" {
-		return errors.New("no configuration: give -config or RELAY_CONFIG")
-	}
-	cfg, err := config.Load(path, operator)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(1)
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
-		return fmt.Errorf("configure netpoll: %w", err)
-	}
-	clock := unixClock()
-	c, err := core.New(cfg.Settings, cfg.Limits, clock)
-	if err != nil {
-		return err
-	}
-	budget := netio.NewBudget(cfg.Limits.HeldBytes)
-	up := cachewire.New(c, cfg.Limits, budget, clock)
-	c.Use(up)
-	feed, err := journal.New(c, cfg.Journal, cfg.Limits, cfg.Known)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	front, err := msgrpc.Listen(cfg.Listen, cfg.Inherited, c, cfg.Limits, cfg.Settings.Classes, budget)
-	if err != nil {
-		return err
-	}
-	defer front.Close()
-	var fronts []server
-	if cfg.DNS.Listen != "" {
-		f, err := dnsfront.Listen(c, cfg.DNS, cfg.Limits, budget)
-		if err != nil {
-			return fmt.Errorf("dns: %w", err)
-		}
-		fronts = append(fronts, f)
-	}
-	if cfg.Agent != "" {
-		f, err := agentcheck.Listen(cfg.Agent, c, cfg.Limits)
-		if err != nil {
-			return fmt.Errorf("agent checks: %w", err)
-		}
-		fronts = append(fronts, f)
-	}
-	var operators net.Addr
-	if cfg.Ops != "" {
-		f, err := ops.Listen(cfg.Ops, c, cfg.Limits)
-		if err != nil {
-			return fmt.Errorf("operators' address: %w", err)
-		}
-		operators = f.Addr()
-		fronts = append(fronts, f)
-	}
-	r := &replacement{core: c, feed: feed, up: up, front: front, budget: budget, lim: cfg.Limits}
-	var before *handover.Predecessor
-	if cfg.Handover != "" {
-		before = handover.Find(cfg.Handover, cfg.Limits)
-	}
-	r.share(func() { r.before = before != nil })
-	stop, failed := make(chan struct{}), make(chan error, len(fronts)+1)
-	defer close(stop)
-	c.Hold(true)
-	go c.Run(stop)
-	go feed.Run(stop)
-	for _, f := range fronts {
-		defer f.Close()
-		go func() { failed <- f.Serve() }()
-	}
-	if before != nil {
-		defer before.Close()
-		r.follow(before)
-		go r.wait(before, stop)
-	}
-	go func() { failed <- front.Serve() }()
-	if cfg.Handover != "" {
-		g, err := handover.Give(cfg.Handover, r, cfg.Limits)
-		if err != nil { // serving comes first
-			slog.Error("this process can't be followed", "err", err)
-		} else {
-			defer g.Close()
+// rootCommand returns the command with all below it, which set ran once their line is understood.
+func rootCommand(ran *bool) *cobra.Command {
+	var router serveFlags
+	var logs logFlags
+	root := &cobra.Command{
+		Use: "hillknot", Short: "An edge router for devices on poor links, and its clients' tools",
+		Long: "An edge router for devices on poor links, and its clients' tools.\n\nWithout a sub-command it is the router, as with `hillknot serve`.",
+		Args: cobra.NoArgs, RunE: router.serve,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return logs.set(os.Stderr) },
+	}
+	router.add(root)
+	logs.add(root.PersistentFlags())
+	serve := &cobra.Command{Use: "serve", Short: "Run the router until SIGTERM", Args: cobra.NoArgs, RunE: router.serve}
+	router.add(serve)
+	root.AddCommand(serve, getCommand(), sendCommand(), healthCommand(), configCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintf(cmd.OutOrStdout(), "hillknot %s %s %s/%s\n", version, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+		},
+	})
+	prepare(root, ran)
+	return root
+}
+
+// prepare has what is wrong with a command line told by us, and apart from what goes wrong in a command.
+func prepare(c *cobra.Command, ran *bool) {
+	c.SilenceErrors, c.SilenceUsage = true, true
+	if do := c.RunE; do != nil {
+		c.RunE = func(cmd *cobra.Command, args []string) error {
+			*ran = true
+			return do(cmd, args)
 		}
 	}
-	c.Post(func() { c.Hold(false); serving(operators) })
-	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
-	for {
-		select {
-		case err := <-failed:
-			if err == nil { // it no longer accepts
-				continue
-			}
-			return fmt.Errorf("serve: %w", err)
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				reload(path, operator, feed)
-				continue
-			}
-			slog.Info("ending")
-			finish(c, front, cfg.Limits)
-			return nil
-		}
+	for _, sub := range c.Commands() {
+		prepare(sub, ran)
 	}
 }
 
-// reload takes the journal's address from the configuration as it is now; all else holds from the start on.
-// A faulty file changes nothing: the router goes on with what it has.
-func reload(path, operator string, feed *journal.Client) {
-	cfg, err := config.Load(path, operator)
-	if err != nil {
-		slog.Error("configuration not taken", "err", err)
-		return
+// longFlags has the router's long flags go on working behind a single dash, as in -config FILE.
+func longFlags(root *cobra.Command, args []string) []string {
+	out := append([]string(nil), args...)
+	for i, a := range out {
+		if a == "--" {
+			break
+		}
+		name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "=")
+		if strings.HasPrefix(a, "-") && !strings.HasPrefix(a, "--") && (name == "config" || name == "operator") && root.Flags().Lookup(name) != nil {
+			out[i] = "-" + a
+		}
 	}
-	slog.Info("configuration read again", "journal", cfg.Journal)
-	feed.Move(cfg.Journal)
+	return out
 }
 
-// server is a front with its sockets open.
-type server interface {
-	Serve() error
-	Close()
-}
+// logFlags say how the log is written.
+type logFlags struct{ format, level string }
 
-// finish goes on serving for the linger time, in which requests still arrive, and then until all that was
-// taken is answered. Where a successor has taken over, new connections are left to that at once, and the open ones
-// close as on standby.
-func finish(c *core.Core, front *msgrpc.Front, lim config.Limits) {
-	start := time.Now()
-	c.Post(c.Stop)
-	for ; time.Since(start) < lim.Finish; time.Sleep(10 * time.Millisecond) {
-		open, followed := make(chan int, 1), c.Snapshot().Followed
-		c.Post(func() { open <- c.Open() })
-		if followed {
-			front.StopAccepting()
-		}
-		if n := <-open; n == 0 && (followed && front.Conns() == 0 || !followed && time.Since(start) > lim.Linger) {
-			break
-		}
-	}
-	slog.Info("ended", "after", time.Since(start), "followed", c.Snapshot().Followed)
-	time.Sleep(50 * time.Millisecond) // the last answers are on their way out
+func (f *logFlags) add(fs *pflag.FlagSet) {
+	fs.StringVar(&f.format, "log-format", "text", "of the log on standard error: text or json")
+	fs.StringVar(&f.level, "log-level", "info", "the least level that is logged: debug, info, warn or error")
 }
 
-// unixClock counts from the Unix epoch and never steps back.
-func unixClock() func() time.Duration {
-	start := time.Now()
-	base := time.Duration(start.UnixNano())
-	return func() time.Duration { return base + time.Since(start) }
+func (f *logFlags) set(to io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(f.level)); err != nil {
+		return usage{fmt.Errorf("--log-level %q is none of debug, info, warn and error", f.level)}
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	switch f.format {
+	case "text":
+		slog.SetDefault(slog.New(slog.NewTextHandler(to, opts)))
+	case "json":
+		slog.SetDefault(slog.New(slog.NewJSONHandler(to, opts)))
+	default:
+		return usage{fmt.Errorf("--log-format %q is neither text nor json", f.format)}
+	}
+	return nil
 }
--- /dev/null
+++ b/cmd/hillknot/serve.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/spf13/cobra"
+
+	"hillknot/internal/agentcheck"
+	"hillknot/internal/cachewire"
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+	"hillknot/internal/dnsfront"
+	"hillknot/internal/handover"
+	"hillknot/internal/journal"
+	"hillknot/internal/msgrpc"
+	"hillknot/internal/netio"
+	"hillknot/internal/ops"
+)
+
+// serveFlags name the files that set a router up.
+type serveFlags struct{ config, operator string }
+
+func (f *serveFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.config, "config", os.Getenv("RELAY_CONFIG"), "the configuration `FILE`")
+	cmd.Flags().StringVar(&f.operator, "operator", os.Getenv("HILLKNOT_OPERATOR"), "a `FILE` with further keys, such as deploy/operator.json")
+}
+
+// serve runs the router as a command.
+func (f *serveFlags) serve(*cobra.Command, []string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	return run(f.config, f.operator, signals, func(net.Addr) {})
+}
+
+// run serves until a signal to end comes and all that was taken is answered. On SIGHUP the configuration is
+// read again. It calls serving once clients are taken, with the operators' address, if there is one.
+func run(path, operator string, signals <-chan os.Signal, serving func(ops net.Addr)) error {
+	if path == "" {
+		return errors.New("no configuration: give -config or RELAY_CONFIG")
+	}
+	cfg, err := config.Load(path, operator)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
+		return fmt.Errorf("configure netpoll: %w", err)
+	}
+	clock := unixClock()
+	c, err := core.New(cfg.Settings, cfg.Limits, clock)
+	if err != nil {
+		return err
+	}
+	budget := netio.NewBudget(cfg.Limits.HeldBytes)
+	up := cachewire.New(c, cfg.Limits, budget, clock)
+	c.Use(up)
+	feed, err := journal.New(c, cfg.Journal, cfg.Limits, cfg.Known)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	front, err := msgrpc.Listen(cfg.Listen, cfg.Inherited, c, cfg.Limits, cfg.Settings.Classes, budget)
+	if err != nil {
+		return err
+	}
+	defer front.Close()
+	var fronts []server
+	if cfg.DNS.Listen != "" {
+		f, err := dnsfront.Listen(c, cfg.DNS, cfg.Limits, budget)
+		if err != nil {
+			return fmt.Errorf("dns: %w", err)
+		}
+		fronts = append(fronts, f)
+	}
+	if cfg.Agent != "" {
+		f, err := agentcheck.Listen(cfg.Agent, c, cfg.Limits)
+		if err != nil {
+			return fmt.Errorf("agent checks: %w", err)
+		}
+		fronts = append(fronts, f)
+	}
+	var operators net.Addr
+	if cfg.Ops != "" {
+		f, err := ops.Listen(cfg.Ops, c, cfg.Limits)
+		if err != nil {
+			return fmt.Errorf("operators' address: %w", err)
+		}
+		operators = f.Addr()
+		fronts = append(fronts, f)
+	}
+	r := &replacement{core: c, feed: feed, up: up, front: front, budget: budget, lim: cfg.Limits}
+	var before *handover.Predecessor
+	if cfg.Handover != "" {
+		before = handover.Find(cfg.Handover, cfg.Limits)
+	}
+	r.share(func() { r.before = before != nil })
+	stop, failed := make(chan struct{}), make(chan error, len(fronts)+1)
+	defer close(stop)
+	c.Hold(true)
+	go c.Run(stop)
+	go feed.Run(stop)
+	for _, f := range fronts {
+		defer f.Close()
+		go func() { failed <- f.Serve() }()
+	}
+	if before != nil {
+		defer before.Close()
+		r.follow(before)
+		go r.wait(before, stop)
+	}
+	go func() { failed <- front.Serve() }()
+	if cfg.Handover != "" {
+		g, err := handover.Give(cfg.Handover, r, cfg.Limits)
+		if err != nil { // serving comes first
+			slog.Error("this process can't be followed", "err", err)
+		} else {
+			defer g.Close()
+		}
+	}
+	c.Post(func() { c.Hold(false); serving(operators) })
+	slog.Info("serving", "name", cfg.Name, "listen", front.Addr(), "pid", os.Getpid())
+	for {
+		select {
+		case err := <-failed:
+			if err == nil { // it no longer accepts
+				continue
+			}
+			return fmt.Errorf("serve: %w", err)
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(path, operator, feed)
+				continue
+			}
+			slog.Info("ending")
+			finish(c, front, cfg.Limits)
+			return nil
+		}
+	}
+}
+
+// reload takes the journal's address from the configuration as it is now; all else holds from the start on.
+// A faulty file changes nothing: the router goes on with what it has.
+func reload(path, operator string, feed *journal.Client) {
+	cfg, err := config.Load(path, operator)
+	if err != nil {
+		slog.Error("configuration not taken", "err", err)
+		return
+	}
+	slog.Info("configuration read again", "journal", cfg.Journal)
+	feed.Move(cfg.Journal)
+}
+
+// server is a front with its sockets open.
+type server interface {
+	Serve() error
+	Close()
+}
+
+// finish goes on serving for the linger time, in which requests still arrive, and then until all that was
+// taken is answered. Where a successor has taken over, new connections are left to that at once, and the open ones
+// close as on standby.
+func finish(c *core.Core, front *msgrpc.Front, lim config.Limits) {
+	start := time.Now()
+	c.Post(c.Stop)
+	for ; time.Since(start) < lim.Finish; time.Sleep(10 * time.Millisecond) {
+		open, followed := make(chan int, 1), c.Snapshot().Followed
+		c.Post(func() { open <- c.Open() })
+		if followed {
+			front.StopAccepting()
+		}
+		if n := <-open; n == 0 && (followed && front.Conns() == 0 || !followed && time.Since(start) > lim.Linger) {
+			break
+		}
+	}
+	slog.Info("ended", "after", time.Since(start), "followed", c.Snapshot().Followed)
+	time.Sleep(50 * time.Millisecond) // the last answers are on their way out
+}
+
+// unixClock counts from the Unix epoch and never steps back.
+func unixClock() func() time.Duration {
+	start := time.Now()
+	base := time.Duration(start.UnixNano())
+	return func() time.Duration { return base + time.Since(start) }
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -67,6 +68,15 @@
 	return c, nil
 }
 
+// Faults are the single errors in an error of Load: one for each faulty key.
+func Faults(err error) []error {
+	var all interface{ Unwrap() []error }
+	if errors.As(err, &all) {
+		return all.Unwrap()
+	}
+	return []error{err}
+}
+
 // environment takes what the platform tells a process by its environment.
 func (c *Config) environment(get func(string) string) error {
 	if c.Ops == "" {
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -1,8 +1,9 @@
-// Package fields reads typed values out of parsed JSON. It keeps the first error met, which names the
-// faulty key by its whole path, so that a reader is a plain list of fields with one check at its end.
+// Package fields reads typed values out of parsed JSON. It keeps the errors met, the first one of each key, which
+// name the faulty key by its whole path, so that a reader is a plain list of fields with one check at its end.
 package fields
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -14,24 +15,35 @@
 type Object struct {
 	v    *fastjson.Value
 	path string
-	err  *error
+	err  *faults
 }
 
+// faults are the errors met in a document, up to a bound.
+type faults struct {
+	list []error
+	keys map[string]bool
+}
+
+const faultsMost = 100
+
 // Of returns the object that a document holds.
 func Of(v *fastjson.Value) Object {
-	o := Object{v: v, err: new(error)}
+	o := Object{v: v, err: &faults{}}
 	if v.Type() != fastjson.TypeObject {
 		o.fail("", "is no object")
 	}
 	return o
 }
 
-// Err is the first error met in the document.
+// Err is the error met in the document: where there are more, all of them joined.
 func (o Object) Err() error {
-	if o.err == nil {
+	switch {
+	case o.err == nil || len(o.err.list) == 0:
 		return nil
+	case len(o.err.list) == 1:
+		return o.err.list[0]
 	}
-	return *o.err
+	return errors.Join(o.err.list...)
 }
 
 func (o Object) key(name string) string {
@@ -45,9 +57,15 @@
 }
 
 func (o Object) fail(name, what string) {
-	if o.err != nil && *o.err == nil {
-		*o.err = fmt.Errorf("key %q %s", o.key(name), what)
+	key := o.key(name)
+	if o.err == nil || o.err.keys[key] || len(o.err.list) == faultsMost {
+		return
+	}
+	if o.err.keys == nil {
+		o.err.keys = map[string]bool{}
 	}
+	o.err.keys[key] = true
+	o.err.list = append(o.err.list, fmt.Errorf("key %q %s", key, what))
 }
 
 // Fail marks a key as faulty.
