Test that orders run once at most, over 1,200 cases through the real router

Need: an order whose answer is lost must not run again, and the caller must know whether it may have run.

--- a/cmd/hillknot/figures_test.go
+++ b/cmd/hillknot/figures_test.go
@@ -1,83 +1,35 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
-)
 
-// pageCache plays a page cache that has every object but those whose id is odd: to these it says that it is full.
-// It counts the requests that come whole.
-func pageCache(t *testing.T, asked *atomic.Int64) net.Listener {
-	ln := feed(t)
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				for in := bufio.NewReader(nc); ; {
-					line, err := in.ReadString('\n')
-					if err != nil {
-						return
-					}
-					words := strings.Fields(line)
-					if len(words) < 4 || words[0] != "ASK" {
-						continue
-					}
-					n, err := strconv.Atoi(words[3])
-					if err != nil {
-						return
-					}
-					if _, err := in.Discard(n + 2); err != nil {
-						return
-					}
-					asked.Add(1)
-					if strings.Contains(words[2], "1,seg=") {
-						fmt.Fprintf(nc, "%s WAIT - 0\r\n\r\n", words[1])
-					} else {
-						fmt.Fprintf(nc, "%s DONE res=cached 5\r\nhello\r\n", words[1])
-					}
-				}
-			}()
-		}
-	}()
-	return ln
-}
+	"hillknot/internal/standin"
+)
 
 // The figures are what crossed the sockets: every answer that a client read, and every request that a page cache did.
 func TestFiguresAgainstSockets(t *testing.T) {
+	// It has every object but those whose id is odd: to these it says that it is full.
 	var asked atomic.Int64
-	cache, news, clients := pageCache(t, &asked), feed(t), feed(t)
-	inherit(t, clients)
-	t.Setenv("TMPDIR", t.TempDir())
-	t.Setenv("RELAY_OPS", "127.0.0.1:0")
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, fmt.Appendf(nil, conf, clients.Addr(), news.Addr(), cache.Addr()), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	signals, ended, up := make(chan os.Signal, 1), make(chan error, 1), make(chan net.Addr, 1)
-	go func() { ended <- run(path, "", signals, func(ops net.Addr) { up <- ops }) }()
-	var ops net.Addr
-	select {
-	case ops = <-up:
-	case err := <-ended:
+	cache, err := standin.NewCache(nowhere, func(a standin.Ask) standin.Reply {
+		if asked.Add(1); strings.HasSuffix(a.Fields["obj"], "1") {
+			return standin.Reply{Word: "WAIT"}
+		}
+		return standin.Reply{Word: "DONE", Fields: "res=cached", Body: []byte("hello")}
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
+	defer cache.Close()
+	clients, ops := router(t, conf, cache.Addr())
 	nc, err := net.Dial("tcp", clients.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -131,8 +83,4 @@
 			t.Errorf("no line %q in\n%s", line, body)
 		}
 	}
-	signals <- syscall.SIGTERM
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
 }
--- /dev/null
+++ b/cmd/hillknot/orders_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hillknot/client"
+	"hillknot/client/policy"
+	"hillknot/internal/standin"
+)
+
+const ordersConf = `{"listen":%q,"journal":%q,"known":{"pos":7,"entries":[{"pos":7,"hosts":{"reset":true,"instances":[
+	{"instanceId":"s-1","hostPort":%q,"zone":"e","machineType":"small","lifecycle":"ready","weight":1},
+	{"instanceId":"s-2","hostPort":"127.0.0.1:9","zone":"hub","machineType":"origin","lifecycle":"ready","weight":1}]}}]},
+	"settings":{"dcs":["hub","e"],"locality":"e","hostTypes":["small","parent","origin"],"allowed":{"cancel":true,"maxAttempts":6,
+	"retryAfter":true,"maxRetryAfterUs":100000},"profiles":[{"name":"part-page","repeat":"safe","deadlineUs":3000000},
+	{"name":"new-arrange","repeat":"unsafe","deadlineUs":3000000}],"specifics":{"midKind":1,"storeKind":2,"classWrite":[false,true]}}}`
+
+// router runs the router on a listener of its own until the test ends, with the configuration's text for a listener,
+// a journal and a page cache.
+func router(t *testing.T, text, cache string) (clients net.Listener, ops net.Addr) {
+	t.Helper()
+	news, err := standin.NewJournal(nowhere, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients = feed(t)
+	inherit(t, clients)
+	t.Setenv("TMPDIR", t.TempDir())
+	t.Setenv("RELAY_OPS", nowhere)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, text, clients.Addr(), news.Addr(), cache), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signals, ended, up := make(chan os.Signal, 1), make(chan error, 1), make(chan net.Addr, 1)
+	go func() { ended <- run(path, "", signals, func(ops net.Addr) { up <- ops }) }()
+	select {
+	case ops = <-up:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		signals <- syscall.SIGTERM
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		news.Close()
+	})
+	return clients, ops
+}
+
+// book counts the orders that ran, by object.
+type book struct {
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func (b *book) add(item string) {
+	b.mu.Lock()
+	b.ran[item]++
+	b.mu.Unlock()
+}
+
+// An order runs once at most, whatever becomes of its answer, and the client knows whether it may have run. The
+// connection is cut at every byte of the request and of the answer, falls silent there, the page cache breaks off,
+// fails, refuses or is late, and the caller goes away in the middle.
+func TestOrdersRunOnce(t *testing.T) {
+	b := &book{ran: map[string]int{}}
+	cache, err := standin.NewCache(nowhere, func(a standin.Ask) standin.Reply {
+		switch string(a.Body) {
+		case "refuse":
+			return standin.Reply{Word: "WAIT"}
+		case "lack":
+			return standin.Reply{Word: "LACK"}
+		}
+		b.add(a.Fields["obj"])
+		switch string(a.Body) {
+		case "fail":
+			return standin.Reply{Word: "BROKE"}
+		case "break":
+			return standin.Reply{Break: true}
+		case "silence":
+			return standin.Reply{}
+		case "late":
+			return standin.Reply{Word: "DONE", Body: []byte("done"), After: 160 * time.Millisecond}
+		}
+		return standin.Reply{Word: "DONE", Body: []byte("done"), After: time.Duration(len(a.Body)%3) * time.Millisecond}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cache.Close()
+	clients, _ := router(t, ordersConf, cache.Addr())
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	ends := map[string]int{}
+	places := make(chan struct{}, 64)
+	for i := range 1200 {
+		places <- struct{}{}
+		all.Go(func() {
+			defer func() { <-places }()
+			end := order(t, b, clients.Addr().String(), i)
+			mu.Lock()
+			ends[end]++
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	t.Logf("%v", ends)
+	for _, want := range []string{"served", "refused", "may have run", "failed", "deadline over"} {
+		if ends[want] == 0 {
+			t.Errorf("no order ended as %s: %v", want, ends)
+		}
+	}
+}
+
+// order sends the order of a numbered case, checks it, and returns how it ended.
+func order(t *testing.T, b *book, addr string, i int) string {
+	rnd := rand.New(rand.NewPCG(uint64(i), 1))
+	flaw, body := standin.Flaw{Read: -1, Write: -1, Stall: i%2 == 0}, "well"
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	switch i / 2 % 4 {
+	case 0:
+		flaw.Read = 7 + i/8%16 // health's answer has 7 bytes
+	case 1:
+		flaw.Write = 12 + i/8%130 // and its call has 12
+	case 2:
+		body = []string{"refuse", "lack", "fail", "break", "silence", "late"}[i/8%6]
+	case 3:
+		time.AfterFunc(time.Duration(rnd.IntN(5000))*time.Microsecond, cancel)
+	}
+	set := policy.Defaults()
+	set.Seed = uint64(i)
+	c, err := client.New(client.Config{Routers: []string{addr}, Policy: &set, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return standin.Flawed(nc, flaw), nil
+	}})
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	item := rnd.Uint64()
+	_, err = c.Do(ctx, client.Request{Class: "new-arrange", Item: item, Body: []byte(body), Limit: 150 * time.Millisecond})
+	wait, done := context.WithTimeout(context.Background(), 20*time.Second)
+	defer done()
+	if err := c.Close(wait); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(100 * time.Millisecond) // what was on its way to the page cache has come
+	b.mu.Lock()
+	ran := b.ran[fmt.Sprintf("%016x", item)]
+	b.mu.Unlock()
+	_, end := exitStatus(err)
+	switch may := errors.Is(err, client.ErrMayHaveRun); {
+	case ran > 1:
+		t.Errorf("case %d ran %d times", i, ran)
+	case err == nil && ran != 1, err != nil && !may && ran != 0:
+		t.Errorf("case %d ran %d times, but the client was told %v", i, ran, err)
+	}
+	return end
+}
