--- a/client/client.go
+++ b/client/client.go
@@ -305,8 +305,10 @@
 }
 
 // Health asks each router that the client knows whether it takes clients, on connections of their own. It returns an
-// error for each that does not, nil for the others.
+// error for each that does not, or does not say so in the time that the policy gives, nil for the others.
 func (c *Client) Health(ctx context.Context) []error {
+	ctx, cancel := context.WithTimeout(ctx, c.set.DialWait+c.set.CheckWait)
+	defer cancel()
 	out := make([]error, len(c.cfg.Routers))
 	var all sync.WaitGroup
 	for i, addr := range c.cfg.Routers {
