Measure the client library against a plain client: storms, restarts, orders, a bad minute

Need: what the library is worth is to be shown against real router processes, beside a client that tries again at once.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run hillknot.
 
-.PHONY: build test lint run
+.PHONY: build test lint run measure-clients
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -17,3 +17,7 @@
 run: build
 	@go build -o bin/toy ./example/toy
 	@bin/toy & trap "kill $$!" EXIT; bin/hillknot -config example/config.json
+
+# The tables of docs/client.md, in some five minutes. Nothing else should run beside it.
+measure-clients: build
+	bin/hillknot-lab clients
--- /dev/null
+++ b/lab/fleet.go
@@ -0,0 +1,220 @@
+// Package lab measures the product against itself: real router processes on loopback, stand-ins for all that they
+// talk to, and clients of several kinds. It is not part of the router.
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"hillknot/internal/standin"
+)
+
+// Fleet is some routers of one location with a page cache, an origin and a journal, all on loopback.
+type Fleet struct {
+	Backend *Backend
+	Routers []*Router
+	dir     string
+	caches  []*standin.Cache
+	journal *standin.Journal
+}
+
+// Router is a router process.
+type Router struct {
+	Addr string
+	bin  string
+	conf string
+	cmd  *exec.Cmd
+	dir  string
+}
+
+// Backend is what the page cache and the origin do.
+type Backend struct {
+	mu     sync.Mutex
+	refuse bool
+	delay  time.Duration
+	rate   float64 // requests a second that it can do; a refusal costs a third of one; 0: any
+	room   float64
+	then   time.Time
+	Runs   map[string]int // orders that ran, by object
+	Asked  int
+}
+
+// Set changes what it does.
+func (b *Backend) Set(refuse bool, delay time.Duration, rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refuse, b.delay, b.rate, b.room, b.then = refuse, delay, rate, rate/10, time.Now()
+}
+
+func (b *Backend) answer(a standin.Ask) standin.Reply {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Asked++
+	full := b.refuse
+	if b.rate > 0 {
+		now := time.Now()
+		b.room = min(b.rate/10, b.room+now.Sub(b.then).Seconds()*b.rate)
+		b.then = now
+		if full = full || b.room < 1; full {
+			b.room -= 1.0 / 3
+		} else {
+			b.room--
+		}
+	}
+	if full {
+		return standin.Reply{Word: "WAIT"}
+	}
+	note, body := "cached", []byte(nil)
+	switch a.Fields["kind"] {
+	case "new-arrange":
+		b.Runs[a.Fields["obj"]]++
+		note = "fetched_root"
+	case "full-score":
+		body = make([]byte, 24<<10)
+	default:
+		body = make([]byte, 4<<10)
+	}
+	return standin.Reply{Word: "DONE", Body: body, After: b.delay + 5*time.Millisecond,
+		Fields: fmt.Sprintf("res=%s,version=1,stamp=%d", note, time.Now().UnixMilli())}
+}
+
+// NewFleet starts so many routers of the program bin. With later, they tell refused clients how long to stay away.
+func NewFleet(bin string, routers int, later bool) (f *Fleet, err error) {
+	f = &Fleet{Backend: &Backend{Runs: map[string]int{}}}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if f.dir, err = os.MkdirTemp("", "hillknot-lab-"); err != nil {
+		return nil, err
+	}
+	if f.journal, err = standin.NewJournal("127.0.0.1:0", 2); err != nil {
+		return nil, err
+	}
+	var hosts []map[string]any
+	for i, kind := range []string{"small", "small", "origin"} {
+		c, err := standin.NewCache("127.0.0.1:0", f.Backend.answer)
+		if err != nil {
+			return nil, err
+		}
+		f.caches = append(f.caches, c)
+		zone := "edge"
+		if kind == "origin" {
+			zone = "hub"
+		}
+		hosts = append(hosts, map[string]any{"instanceId": fmt.Sprintf("s-%d", i+1), "hostPort": c.Addr(), "zone": zone, "machineType": kind,
+			"lifecycle": "ready", "weight": 1})
+	}
+	for i := range routers {
+		r, err := f.router(bin, i, later, hosts)
+		if err != nil {
+			return nil, err
+		}
+		f.Routers = append(f.Routers, r)
+		if err := r.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// router writes the configuration of one router.
+func (f *Fleet) router(bin string, i int, later bool, hosts []map[string]any) (*Router, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now, to come back to
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{Addr: ln.Addr().String(), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
+	_ = ln.Close()
+	r.conf = filepath.Join(r.dir, "config.json")
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	class := func(name, repeat string, aim, deadline time.Duration, worth int) map[string]any {
+		return map[string]any{"name": name, "repeat": repeat, "promiseUs": us(aim), "deadlineUs": us(deadline), "worth": worth}
+	}
+	const ms = time.Millisecond
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("lab-%d", i), "listen": r.Addr, "journal": f.journal.Addr(),
+		"known": map[string]any{"pos": 1, "entries": []any{map[string]any{"pos": 1,
+			"hosts": map[string]any{"generation": 0, "reset": true, "instances": hosts}}}},
+		"settings": map[string]any{
+			"locality": "edge", "dcs": []string{"hub", "edge"}, "hostTypes": []string{"small", "origin"},
+			"allowed": map[string]any{"cancel": true, "connectTimeoutUs": 400000, "keepaliveUs": 30000000, "maxAttempts": 6,
+				"retryAfter": later, "maxRetryAfterUs": 500000},
+			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": 18000000, "fallUs": 2000000, "overloadFactor": 4},
+			"profiles": []any{class("full-score", "safe", 400*ms, 5*time.Second, 2), class("part-page", "safe", 250*ms, 3*time.Second, 1),
+				class("new-arrange", "unsafe", 700*ms, 3*time.Second, 3)},
+			"specifics": map[string]any{"midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
+				"classFreshUs": []int{0, 20000000, 0}, "purgeTakesUs": 6000000},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Mkdir(r.dir, 0o700); err != nil {
+		return nil, err
+	}
+	return r, os.WriteFile(r.conf, text, 0o600)
+}
+
+// Start starts the process and waits until it accepts.
+func (r *Router) Start() error {
+	r.cmd = exec.Command(r.bin, "-config", r.conf, "--log-level", "error")
+	r.cmd.Env = append(os.Environ(), "TMPDIR="+r.dir)
+	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	r.cmd.Stderr = log
+	if err := r.cmd.Start(); err != nil {
+		return err
+	}
+	for range 200 {
+		if nc, err := net.Dial("tcp", r.Addr); err == nil {
+			return nc.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("router %s does not accept", r.Addr)
+}
+
+// Signal sends the process a signal.
+func (r *Router) Signal(s syscall.Signal) { _ = r.cmd.Process.Signal(s) } // it may have ended
+
+// Kill ends the process at once.
+func (r *Router) Kill() {
+	r.Signal(syscall.SIGKILL)
+	_ = r.cmd.Wait() // it was killed, and says so
+}
+
+// Close ends all and leaves nothing.
+func (f *Fleet) Close() {
+	for _, r := range f.Routers {
+		if r.cmd != nil && r.cmd.Process != nil {
+			r.Kill()
+		}
+	}
+	for _, c := range f.caches {
+		c.Close()
+	}
+	if f.journal != nil {
+		f.journal.Close()
+	}
+	_ = os.RemoveAll(f.dir) // in the folder for what is temporary
+}
+
+// addrs are the routers' addresses.
+func (f *Fleet) addrs() (out []string) {
+	for _, r := range f.Routers {
+		out = append(out, r.Addr)
+	}
+	return out
+}
