Tell held calls at once that they come too late, and bring waits told by routers back spread

A call held behind a told wait that was extended ended at its deadline, though it was clear before that no answer could come in time; and all held calls came within 50 ms behind the wait, so that page caches at their limit refused most of them again, with a new wait. Change: the held moment is judged as it is set, and lies in a random part of half the told wait behind it. The lab's overloaded page cache has a line of a quarter of a second, as real ones have, in place of a bucket that went into debt. A test kills real router processes under orders; the bad minute is told by its parts.

--- /dev/null
+++ b/client/example_test.go
@@ -0,0 +1,67 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hillknot/client"
+	"hillknot/internal/rpcwire"
+	"hillknot/internal/standin"
+)
+
+// router plays a router that serves pages, and is too busy for orders.
+func router() *standin.Router {
+	r, err := standin.NewRouter("127.0.0.1:0", func(p *standin.Peer, m rpcwire.Message) {
+		switch string(m.Method) {
+		case "health":
+			p.Health(m.ID, true)
+		case "new-arrange":
+			p.Refuse(m.ID, 1500)
+		default:
+			p.Serve(m.ID, []byte("a page"))
+		}
+	})
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func ExampleClient_Do() {
+	r := router()
+	defer r.Close()
+	c, err := client.New(client.Config{Routers: []string{r.Addr()}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer c.Close(context.Background())
+	resp, err := c.Do(context.Background(), client.Request{Class: "part-page", Item: 0x7f3a9c21e0b4d655, Part: 3, Limit: time.Second})
+	fmt.Printf("%s, %d try, %v\n", resp.Body, resp.Tries, err)
+	// Output: a page, 1 try, <nil>
+}
+
+// An order that was refused never ran; one that may have run must not be sent again unseen.
+func ExampleError() {
+	r := router()
+	defer r.Close()
+	c, err := client.New(client.Config{Routers: []string{r.Addr()}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer c.Close(context.Background())
+	_, err = c.Do(context.Background(), client.Request{Class: "new-arrange", Item: 1, Body: []byte("in F"), Limit: time.Second})
+	var e *client.Error
+	switch {
+	case errors.Is(err, client.ErrMayHaveRun):
+		fmt.Println("look first whether it took effect")
+	case errors.Is(err, client.ErrRefused) && errors.As(err, &e):
+		fmt.Println("not run; to come back later:", e.Wait > time.Second)
+	default:
+		fmt.Println(err)
+	}
+	// Output: not run; to come back later: true
+}
--- a/client/policy/policy.go
+++ b/client/policy/policy.go
@@ -372,13 +372,14 @@
 		return
 	}
 	at, why := p.prospect()
+	if at > p.now && why == Refused { // the wait is told by routers: not all at once behind it
+		at += time.Duration(p.rnd.Float64() * float64(max(p.set.BackoffBase, (at-p.now)/2)))
+	}
 	switch {
-	case at > due && why == Refused:
-		p.finish(c, End{Verdict: Refused, Local: true, Wait: at - p.now})
-	case at > due:
-		p.finish(c, End{Verdict: Unreachable, Wait: at - p.now})
-	case at > p.now && why == Refused: // the wait is told by routers: not all at once behind it
-		c.held = at + p.backoff(1)
+	case at > due: // what can't be done in time is told now
+		p.finish(c, End{Verdict: why, Local: why == Refused, Wait: at - p.now})
+	case at > p.now && why == Refused:
+		c.held = at
 		p.wait(c, holding)
 	default:
 		p.queue = append(p.queue, c)
--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -16,6 +16,7 @@
 	"hillknot/client"
 	"hillknot/client/policy"
 	"hillknot/internal/standin"
+	"hillknot/lab"
 )
 
 const ordersConf = `{"listen":%q,"journal":%q,"known":{"pos":7,"entries":[{"pos":7,"hosts":{"reset":true,"instances":[
@@ -172,3 +173,29 @@
 	}
 	return end
 }
+
+// TestMain lets the test's own program be the router, as a process that can be killed.
+func TestMain(m *testing.M) {
+	if os.Getenv(asRouter) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+const asRouter = "HILLKNOT_TEST_AS_ROUTER"
+
+// Orders run once at most, too, where the router's process is killed under them.
+func TestOrdersWithRoutersKilled(t *testing.T) {
+	t.Setenv(asRouter, "1")
+	bin, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := lab.LibraryOrders(bin, 200*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Sent < 300 || o.Twice+o.Ghosts+o.Lies > 0 || o.Served < o.Sent/4 {
+		t.Errorf("%+v", o)
+	}
+}
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -110,21 +110,28 @@
 	return "new-arrange"
 }
 
-// Clients compares the kinds of clients against routers of the program bin, and writes tables. With quick, times are
-// a fifth of what they are else.
-func Clients(bin string, quick bool, to io.Writer) error {
+// Clients compares the kinds of clients against routers of the program bin, and writes tables: all, or only one of
+// Parts. With quick, times are a fifth of what they are else.
+func Clients(bin string, quick bool, only string, to io.Writer) error {
 	unit := time.Second
 	if quick {
 		unit /= 5
 	}
-	for _, part := range []func(string, time.Duration, io.Writer) error{storms, restart, orders, badMinute} {
-		if err := part(bin, unit, to); err != nil {
-			return err
+	parts := map[string]func(string, time.Duration, io.Writer) error{"storms": storms, "restart": restart, "orders": orders, "minute": badMinute}
+	for _, name := range Parts {
+		if only != "" && only != name {
+			continue
+		}
+		if err := parts[name](bin, unit, to); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
 	return nil
 }
 
+// Parts are the names of the parts of Clients.
+var Parts = []string{"storms", "restart", "orders", "minute"}
+
 // storms has everything refused for ten seconds, with and without a told wait.
 func storms(bin string, unit time.Duration, to io.Writer) error {
 	fmt.Fprintf(to, "| storm of refusals, %v, 200 requests/s, 2 routers | tries per request in it | refused at once, median | from its end to 95%% served |\n| --- | --- | --- | --- |\n", 10*unit)
@@ -283,68 +290,97 @@
 	fmt.Fprintf(to, "| orders, 100/s for %v, routers killed in turn each %v | ran twice or more | told as served, but did not run | told as surely not run, but ran | served | told: may have run |\n| --- | --- | --- | --- | --- | --- |\n",
 		20*unit, unit)
 	for _, k := range kinds {
-		f, err := NewFleet(bin, 2, false)
+		o, err := k.orders(bin, unit)
 		if err != nil {
 			return err
 		}
-		f.Backend.Set(false, 20*time.Millisecond, 0)
-		a, err := k.make(1, f.addrs(), func() {})
-		if err != nil {
-			f.Close()
-			return err
-		}
-		stop, ended := make(chan struct{}), make(chan error, 1)
-		go func() {
-			var err error
-			for i := 0; err == nil; i++ {
-				select {
-				case <-stop:
-					ended <- nil
-					return
-				case <-time.After(unit):
-				}
-				f.Routers[i%2].Kill()
-				time.Sleep(unit / 4)
-				err = f.Routers[i%2].Start()
-			}
-			ended <- err
-		}()
-		all := load(a, 100, 20*unit, 1, func(*rand.Rand) string { return "new-arrange" })
-		close(stop)
-		err = <-ended
-		a.close()
-		time.Sleep(200 * time.Millisecond)
+		fmt.Fprintf(to, "| %s | %d of %d | %d | %d | %.1f%% | %d |\n", k.name, o.Twice, o.Sent, o.Ghosts, o.Lies, 100*float64(o.Served)/float64(o.Sent), o.MayHaveRun)
+	}
+	fmt.Fprintln(to)
+	return nil
+}
+
+// Orders is what became of orders.
+type Orders struct {
+	Sent       int
+	Twice      int // ran twice or more
+	Ghosts     int // told as served, but did not run
+	Lies       int // told as surely not run, but ran
+	Served     int
+	MayHaveRun int // told so
+}
+
+// LibraryOrders sends orders by the client library while two routers of the program bin are killed in turn, each after
+// a unit of time, for twenty units.
+func LibraryOrders(bin string, unit time.Duration) (Orders, error) { return kinds[1].orders(bin, unit) }
+
+func (k kind) orders(bin string, unit time.Duration) (o Orders, err error) {
+	f, err := NewFleet(bin, 2, false)
+	if err != nil {
+		return o, err
+	}
+	f.Backend.Set(false, 20*time.Millisecond, 0)
+	a, err := k.make(1, f.addrs(), func() {})
+	if err != nil {
 		f.Close()
-		if err != nil {
-			return err
+		return o, err
+	}
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- f.killInTurn(unit, stop) }()
+	all := load(a, 100, 20*unit, 1, func(*rand.Rand) string { return "new-arrange" })
+	close(stop)
+	err = <-ended
+	a.close()
+	time.Sleep(200 * time.Millisecond) // what was on its way to the page cache has come
+	f.Close()
+	for _, s := range all {
+		o.Sent++
+		ran := f.Backend.Runs[fmt.Sprintf("%016x", s.item)]
+		if ran > 1 {
+			o.Twice++
 		}
-		twice, ghost, lie, served, may := 0, 0, 0, 0, 0
-		for _, s := range all {
-			ran := f.Backend.Runs[fmt.Sprintf("%016x", s.item)]
-			unsure := errors.Is(s.err, client.ErrMayHaveRun)
-			if ran > 1 {
-				twice++
-			}
-			switch {
-			case s.err == nil && ran == 0:
-				ghost++
-			case s.err == nil:
-				served++
-			case unsure:
-				may++
-			case ran > 0:
-				lie++
-			}
+		switch {
+		case s.err == nil && ran == 0:
+			o.Ghosts++
+		case s.err == nil:
+			o.Served++
+		case errors.Is(s.err, client.ErrMayHaveRun):
+			o.MayHaveRun++
+		case ran > 0:
+			o.Lies++
+		}
+	}
+	return o, err
+}
+
+// killInTurn kills the routers one after the other, and starts each again a quarter of the unit later.
+func (f *Fleet) killInTurn(unit time.Duration, stop <-chan struct{}) error {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(unit):
+		}
+		r := f.Routers[i%len(f.Routers)]
+		r.Kill()
+		time.Sleep(unit / 4)
+		if err := r.Start(); err != nil {
+			return err
 		}
-		fmt.Fprintf(to, "| %s | %d of %d | %d | %d | %.1f%% | %d |\n", k.name, twice, len(all), ghost, lie, 100*float64(served)/float64(len(all)), may)
 	}
-	fmt.Fprintln(to)
-	return nil
 }
 
+// phases are the parts of the bad minute, each up to so many units of time.
+var phases = []struct {
+	until int
+	name  string
+}{{5, "calm"}, {13, "a router hangs"}, {18, "calm"}, {22, "a router is away"}, {26, "it is back"}, {32, "all is refused"}, {36, "calm"},
+	{42, "page caches take 150 ms more"}, {54, "page caches do 100/s"}, {60, "calm"}}
+
 // badMinute is a minute in which one thing after the other goes wrong.
 func badMinute(bin string, unit time.Duration, to io.Writer) error {
 	fmt.Fprintf(to, "| bad minute (%v), 150 requests/s, 3 routers | worth earned of worth asked | tries per request | asked of the page caches | ran twice |\n| --- | --- | --- | --- | --- |\n", 60*unit)
+	parts := map[string][]float64{} // by client: earned and asked in each phase
 	for _, k := range kinds {
 		f, err := NewFleet(bin, 3, true)
 		if err != nil {
@@ -366,15 +402,28 @@
 			return failed
 		}
 		earned, asked, tries, twice := 0.0, 0.0, 0, 0
+		part := make([]float64, 2*len(phases))
 		for _, s := range all {
 			e, w := s.worth()
 			earned, asked, tries = earned+e, asked+w, tries+s.tries
+			for i, p := range phases {
+				if s.begun < time.Duration(p.until)*unit {
+					part[2*i], part[2*i+1] = part[2*i]+e, part[2*i+1]+w
+					break
+				}
+			}
 			if s.class == "new-arrange" && f.Backend.Runs[fmt.Sprintf("%016x", s.item)] > 1 {
 				twice++
 			}
 		}
+		parts[k.name] = part
 		fmt.Fprintf(to, "| %s | %.3f | %.2f | %d | %d |\n", k.name, earned/asked, float64(tries)/float64(len(all)), f.Backend.Asked, twice)
 	}
+	fmt.Fprintf(to, "\n| part of the bad minute, up to | plain | library |\n| --- | --- | --- |\n")
+	for i, p := range phases {
+		share := func(of []float64) float64 { return of[2*i] / of[2*i+1] }
+		fmt.Fprintf(to, "| %v: %s | %.3f | %.3f |\n", time.Duration(p.until)*unit, p.name, share(parts["plain"]), share(parts["library"]))
+	}
 	return nil
 }
 
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -39,8 +39,8 @@
 	mu     sync.Mutex
 	refuse bool
 	delay  time.Duration
-	rate   float64 // requests a second that it can do; a refusal costs a third of one; 0: any
-	room   float64
+	rate   float64 // requests a second that it can do; 0: any
+	work   float64 // requests that wait to be done
 	then   time.Time
 	Runs   map[string]int // orders that ran, by object
 	Asked  int
@@ -50,22 +50,25 @@
 func (b *Backend) Set(refuse bool, delay time.Duration, rate float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refuse, b.delay, b.rate, b.room, b.then = refuse, delay, rate, rate/10, time.Now()
+	b.refuse, b.delay, b.rate, b.work, b.then = refuse, delay, rate, 0, time.Now()
 }
 
 func (b *Backend) answer(a standin.Ask) standin.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Asked++
-	full := b.refuse
+	full, wait := b.refuse, b.delay+5*time.Millisecond
 	if b.rate > 0 {
+		// What it can do waits in a line of a quarter of a second; to refuse the rest is a tenth of the work, as far as
+		// that gets done at all.
 		now := time.Now()
-		b.room = min(b.rate/10, b.room+now.Sub(b.then).Seconds()*b.rate)
+		b.work = max(0, b.work-now.Sub(b.then).Seconds()*b.rate)
 		b.then = now
-		if full = full || b.room < 1; full {
-			b.room -= 1.0 / 3
+		if full = full || b.work >= b.rate/4; full {
+			b.work = min(b.work+0.1, b.rate/2)
 		} else {
-			b.room--
+			b.work++
+			wait += time.Duration(b.work / b.rate * float64(time.Second))
 		}
 	}
 	if full {
@@ -81,7 +84,7 @@
 	default:
 		body = make([]byte, 4<<10)
 	}
-	return standin.Reply{Word: "DONE", Body: body, After: b.delay + 5*time.Millisecond,
+	return standin.Reply{Word: "DONE", Body: body, After: wait,
 		Fields: fmt.Sprintf("res=%s,version=1,stamp=%d", note, time.Now().UnixMilli())}
 }
 
