--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -56,7 +56,7 @@
 	case errors.As(err, &status):
 		return int(status)
 	case ran && !errors.As(err, new(usage)):
-		slog.Error(strings.TrimSpace("hillknot "+strings.TrimPrefix(cmd.CommandPath(), "hillknot"))+" ends", "err", err)
+		slog.Error(cmd.CommandPath()+" ends", "err", err)
 		return exitOther
 	}
 	fmt.Fprintf(errs, "hillknot: %v\nsee: %s --help\n", err, cmd.CommandPath())
