Read the operator's file as HCL, with the place of each faulty or unknown key

Need: the parts for other installations are set up by people; JSON has no comments, and its errors named no place. Change: deploy/operator.hcl; HCL becomes the same tree that JSON gives, so one reader checks both, and errors begin with file, line and column. Keys that nobody reads are errors in it. JSON operator's files still load with one warning, as running installations have them; hillknot config convert prints them as HCL. The lab gives each router an address of its own: one started on a port that a client's connection had been given meanwhile.

--- a/cmd/hillknot/ask_test.go
+++ b/cmd/hillknot/ask_test.go
@@ -151,7 +151,7 @@
 	if status != 1 {
 		t.Errorf("status %d", status)
 	}
-	if status, out, errs := say("config", "check", "../../example/config.json", "--operator", "../../deploy/operator.json"); status != 0 {
+	if status, out, errs := say("config", "check", "../../example/config.json", "--operator", "../../deploy/operator.hcl"); status != 0 {
 		t.Errorf("status %d: %s%s", status, out, errs)
 	}
 	for _, args := range [][]string{{"-config", path}, {"-config=" + path}, {"serve", "--config", path}, {"serve", "-operator", "no", "-config", path}} {
--- a/cmd/hillknot/check.go
+++ b/cmd/hillknot/check.go
@@ -28,6 +28,19 @@
 		},
 	}
 	check.Flags().StringVar(&operator, "operator", os.Getenv("HILLKNOT_OPERATOR"), "the operator's `FILE`, whose keys go over the other's")
-	cmd.AddCommand(check)
+	cmd.AddCommand(check, &cobra.Command{
+		Use: "convert FILE", Short: "Print an operator's file that is JSON as HCL", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return usage{err}
+			}
+			if text, err = config.Convert(text); err != nil {
+				return err
+			}
+			_, err = cmd.OutOrStdout().Write(text)
+			return err
+		},
+	})
 	return cmd
 }
--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -31,7 +31,7 @@
 
 func (f *serveFlags) add(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.config, "config", os.Getenv("RELAY_CONFIG"), "the configuration `FILE`")
-	cmd.Flags().StringVar(&f.operator, "operator", os.Getenv("HILLKNOT_OPERATOR"), "a `FILE` with further keys, such as deploy/operator.json")
+	cmd.Flags().StringVar(&f.operator, "operator", os.Getenv("HILLKNOT_OPERATOR"), "a `FILE` with further keys, such as deploy/operator.hcl")
 }
 
 // serve runs the router as a command.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,8 +3,10 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -58,7 +60,10 @@
 			return nil, fmt.Errorf("read operator's file: %w", err)
 		}
 	}
-	c, err := Parse(text, more)
+	if isJSON(more) {
+		slog.Warn("the operator's file is JSON; HCL has places in its errors: hillknot config convert writes it", "file", operator)
+	}
+	c, err := Parse(text, more, operator)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -100,24 +105,30 @@
 	return nil
 }
 
-// Parse reads the configuration from JSON text, with the keys of a second text, which may be empty, over it.
-func Parse(text, operator []byte) (*Config, error) {
+// Parse reads the configuration from JSON text, with the keys of an operator's text, which may be empty, over it.
+// That is HCL, with the name in its errors, or JSON.
+func Parse(text, operator []byte, name string) (*Config, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
 		return nil, err
 	}
-	if len(operator) > 0 {
+	o := fields.Of(v)
+	var doc *document
+	switch {
+	case len(operator) == 0:
+	case isJSON(operator):
 		more, err := fastjson.ParseBytes(operator)
 		if err != nil {
 			return nil, fmt.Errorf("operator's file: %w", err)
 		}
-		keys, err := more.Object()
-		if err != nil {
+		more.GetObject().Visit(func(key []byte, value *fastjson.Value) { v.Set(string(key), value) })
+	default:
+		if doc, err = readHCL(operator, name); err != nil {
 			return nil, fmt.Errorf("operator's file: %w", err)
 		}
-		keys.Visit(func(key []byte, value *fastjson.Value) { v.Set(string(key), value) })
+		doc.root.GetObject().Visit(func(key []byte, value *fastjson.Value) { v.Set(string(key), value) })
+		o.Locate(doc.place)
 	}
-	o := fields.Of(v)
 	o.Must("listen", "journal", "settings")
 	c := &Config{
 		Name: o.Text("name", "hillknot"), Listen: address(o, "listen"), Journal: address(o, "journal"),
@@ -128,6 +139,9 @@
 	if o.Has("health") {
 		o.Fail("health", "is no key any more: GET /status at the address under ops answers health checks")
 	}
+	if doc != nil {
+		doc.unknown(o)
+	}
 	for _, k := range c.Settings.Classes {
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
@@ -142,6 +156,9 @@
 	return c, nil
 }
 
+// isJSON tells JSON from HCL, which can't begin with a brace.
+func isJSON(text []byte) bool { return bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) }
+
 // address reads an address with its port. It must be of this machine: the platform's addresses are.
 func address(o fields.Object, name string) string {
 	s := o.Text(name, "")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -11,7 +12,7 @@
 	"profiles":[{"name":"a","deadlineUs":3000000}]}`
 
 func TestFiles(t *testing.T) {
-	c, err := Load("../../example/config.json", "../../deploy/operator.json")
+	c, err := Load("../../example/config.json", "../../deploy/operator.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -25,7 +26,7 @@
 
 // Open requests were once bounded by the largest object, which refused a third of a calm day's.
 func TestDefaults(t *testing.T) {
-	c, err := Parse([]byte(base+"}"), nil)
+	c, err := Parse([]byte(base+"}"), nil, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +35,7 @@
 		t.Errorf("limits %+v", l)
 	}
 	for _, sockets := range []int{256, 384, 1024} { // all the shares, with a client's eighth more on its way out, leave some
-		c, err := Parse([]byte(fmt.Sprintf(`%s,"limits":{"sockets":%d,"memory_mb":32}}`, base, sockets)), nil)
+		c, err := Parse([]byte(fmt.Sprintf(`%s,"limits":{"sockets":%d,"memory_mb":32}}`, base, sockets)), nil, "")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -62,11 +63,11 @@
 		strings.Replace(base, `3000000`, `-1`, 1) + `}`:                    `"settings.profiles[0].deadlineUs"`,
 		strings.Replace(base, `"locality":"e"`, `"locality":"x"`, 1) + `}`: `"settings"`,
 	} {
-		if _, err := Parse([]byte(text), nil); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := Parse([]byte(text), nil, ""); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: error %v, want %s named", text, err, want)
 		}
 	}
-	if _, err := Parse([]byte(base+"}"), []byte(`{"ops":"here"}`)); err == nil || !strings.Contains(err.Error(), `"ops"`) {
+	if _, err := Parse([]byte(base+"}"), []byte(`{"ops":"here"}`), ""); err == nil || !strings.Contains(err.Error(), `"ops"`) {
 		t.Errorf("operator's file: %v", err)
 	}
 }
@@ -85,7 +86,7 @@
 		{base + "}", "", "1", "", "", "", "RELAY_SOCKET_FD", 0},
 		{base + "}", "", "five", "", "", "", "RELAY_SOCKET_FD", 0},
 	} {
-		cfg, err := Parse([]byte(c.text), nil)
+		cfg, err := Parse([]byte(c.text), nil, "")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -104,7 +105,7 @@
 
 // Two processes of a router together hold no more than one may.
 func TestShared(t *testing.T) {
-	c, err := Parse([]byte(base+"}"), nil)
+	c, err := Parse([]byte(base+"}"), nil, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,3 +115,43 @@
 		t.Errorf("shared %+v and %+v of %+v", o, n, l)
 	}
 }
+
+// An error in the operator's file names file, line, column and key; a key that nobody reads is one.
+func TestOperatorHCL(t *testing.T) {
+	for text, want := range map[string]string{
+		"# well\ndns {\n  listen = \"there\"\n  names = [\"a\"]\n}":   `op.hcl:3,3-19: key "dns.listen" is no address`,
+		"dns {\n  names = [\"a\"]\n}":                                 `op.hcl:1,1-4: key "dns.listen" is missing`,
+		"agent_check {\n  listen = \"127.0.0.1:1\"\n  listens = 1\n}": `op.hcl:3,3-14: key "agent_check.listens" is no key`,
+		"chore {\n  a = 1\n}":                                         `op.hcl:1,1-6: key "chore" is no key`,
+		"ops = \"127.0.0.1:1\"\ndns {}\ndns {}":                       `op.hcl:3,1-4: key "dns" stands twice`,
+		"dns \"x\" {}":                                                `takes no label`,
+		"ops = port(1)":                                               `op.hcl:1,7`,
+		"ops = ":                                                      `op.hcl:1,7`,
+		"limits {\n  sockets = 3\n}":                                  `op.hcl:2,3-14: key "limits.sockets"`,
+	} {
+		_, err := Parse([]byte(base+"}"), []byte(text), "op.hcl")
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %s", text, err, want)
+		}
+	}
+}
+
+// What an operator has in JSON means the same once it is converted.
+func TestConvert(t *testing.T) {
+	old := []byte(`{"ops":"127.0.0.1:8","dns":{"listen":"127.0.0.1:3","names":["a.b","c"],"overstay":2.5},"agent_check":{"listen":"127.0.0.1:4"}}`)
+	text, err := Convert(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := Parse([]byte(base+"}"), old, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := Parse([]byte(base+"}"), text, "op.hcl")
+	if err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	if !reflect.DeepEqual(a.DNS, b.DNS) || a.Ops != b.Ops || a.Agent != b.Agent || b.DNS.Overstay != 2.5 {
+		t.Errorf("%+v became %+v", a, b)
+	}
+}
--- a/internal/fields/fields.go
+++ b/internal/fields/fields.go
@@ -20,8 +20,10 @@
 
 // faults are the errors met in a document, up to a bound.
 type faults struct {
-	list []error
-	keys map[string]bool
+	list  []error
+	keys  map[string]bool
+	place func(key string) string
+	read  map[string]bool // the keys that were asked for; nil: they are not kept
 }
 
 const faultsMost = 100
@@ -46,6 +48,15 @@
 	return errors.Join(o.err.list...)
 }
 
+// Locate has errors begin with the place that a key has in what a person wrote, empty for keys that stand elsewhere,
+// and keeps which keys are read.
+func (o Object) Locate(place func(key string) string) {
+	o.err.place, o.err.read = place, map[string]bool{}
+}
+
+// WasRead tells, after Locate, whether a key was asked for.
+func (o Object) WasRead(key string) bool { return o.err.read[key] }
+
 func (o Object) key(name string) string {
 	switch {
 	case o.path == "":
@@ -65,7 +76,13 @@
 		o.err.keys = map[string]bool{}
 	}
 	o.err.keys[key] = true
-	o.err.list = append(o.err.list, fmt.Errorf("key %q %s", key, what))
+	at := ""
+	if o.err.place != nil {
+		if at = o.err.place(key); at != "" {
+			at += ": "
+		}
+	}
+	o.err.list = append(o.err.list, fmt.Errorf("%skey %q %s", at, key, what))
 }
 
 // Fail marks a key as faulty.
@@ -75,6 +92,9 @@
 func (o Object) Has(name string) bool { return o.get(name) != nil }
 
 func (o Object) get(name string) *fastjson.Value {
+	if o.err != nil && o.err.read != nil {
+		o.err.read[o.key(name)] = true
+	}
 	v := o.v.Get(name)
 	if v == nil || v.Type() == fastjson.TypeNull {
 		return nil
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -89,24 +90,27 @@
 }
 
 // NewFleet starts so many routers of the program bin. With later, they tell refused clients how long to stay away.
-func NewFleet(bin string, routers int, later bool) (f *Fleet, err error) {
-	f = &Fleet{Backend: &Backend{Runs: map[string]int{}}}
-	defer func() {
-		if err != nil {
-			f.Close()
-		}
-	}()
-	if f.dir, err = os.MkdirTemp("", "hillknot-lab-"); err != nil {
+func NewFleet(bin string, routers int, later bool) (*Fleet, error) {
+	f := &Fleet{Backend: &Backend{Runs: map[string]int{}}}
+	if err := f.start(bin, routers, later); err != nil {
+		f.Close()
 		return nil, err
 	}
+	return f, nil
+}
+
+func (f *Fleet) start(bin string, routers int, later bool) (err error) {
+	if f.dir, err = os.MkdirTemp("", "hillknot-lab-"); err != nil {
+		return err
+	}
 	if f.journal, err = standin.NewJournal("127.0.0.1:0", 2); err != nil {
-		return nil, err
+		return err
 	}
 	var hosts []map[string]any
 	for i, kind := range []string{"small", "small", "origin"} {
 		c, err := standin.NewCache("127.0.0.1:0", f.Backend.answer)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.caches = append(f.caches, c)
 		zone := "edge"
@@ -119,24 +123,21 @@
 	for i := range routers {
 		r, err := f.router(bin, i, later, hosts)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.Routers = append(f.Routers, r)
 		if err := r.Start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return f, nil
+	return nil
 }
 
 // router writes the configuration of one router.
 func (f *Fleet) router(bin string, i int, later bool, hosts []map[string]any) (*Router, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now, to come back to
-	if err != nil {
-		return nil, err
-	}
-	r := &Router{Addr: ln.Addr().String(), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
-	_ = ln.Close()
+	// An address of its own to come back to: no other's connection can be given that port meanwhile.
+	n := rand.Uint32()
+	r := &Router{Addr: fmt.Sprintf("127.%d.%d.%d:7001", 64+n>>16&63, n>>8&255, 1+n%254), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
 	r.conf = filepath.Join(r.dir, "config.json")
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	class := func(name, repeat string, aim, deadline time.Duration, worth int) map[string]any {
@@ -186,7 +187,8 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return fmt.Errorf("router %s does not accept", r.Addr)
+	said, _ := os.ReadFile(log.Name()) // it may have said nothing
+	return fmt.Errorf("router %s does not accept: %s", r.Addr, said)
 }
 
 // Signal sends the process a signal.
