--- a/client/example_test.go
+++ b/client/example_test.go
@@ -13,15 +13,12 @@
 
 // router plays a router that serves pages, and is too busy for orders.
 func router() *standin.Router {
-	r, err := standin.NewRouter("127.0.0.1:0", func(p *standin.Peer, m rpcwire.Message) {
-		switch string(m.Method) {
-		case "health":
-			p.Health(m.ID, true)
-		case "new-arrange":
+	r, err := standin.NewReadyRouter("127.0.0.1:0", func(p *standin.Peer, m rpcwire.Message) {
+		if string(m.Method) == "new-arrange" {
 			p.Refuse(m.ID, 1500)
-		default:
-			p.Serve(m.ID, []byte("a page"))
+			return
 		}
+		p.Serve(m.ID, []byte("a page"))
 	})
 	if err != nil {
 		panic(err)
--- a/client/faults_test.go
+++ b/client/faults_test.go
@@ -288,13 +288,7 @@
 	if _, err := c.Do(context.Background(), Request{Class: "full-score", Limit: 100 * time.Millisecond}); err == nil || errors.Is(err, ErrMayHaveRun) {
 		t.Errorf("with all routers away: %v", err)
 	}
-	back, err := standin.NewRouter(addr, func(p *standin.Peer, m rpcwire.Message) {
-		if string(m.Method) == "health" {
-			p.Health(m.ID, true)
-			return
-		}
-		serve(p, m)
-	})
+	back, err := standin.NewReadyRouter(addr, serve)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hillknot/ask_test.go
+++ b/cmd/hillknot/ask_test.go
@@ -15,13 +15,7 @@
 // script plays a router that is ready and does as told with all else.
 func script(t *testing.T, handle func(*standin.Peer, rpcwire.Message)) string {
 	t.Helper()
-	r, err := standin.NewRouter("127.0.0.1:0", func(p *standin.Peer, m rpcwire.Message) {
-		if string(m.Method) == "health" {
-			p.Health(m.ID, true)
-			return
-		}
-		handle(p, m)
-	})
+	r, err := standin.NewReadyRouter("127.0.0.1:0", handle)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rpcwire/codec.go
+++ b/internal/rpcwire/codec.go
@@ -214,6 +214,11 @@
 	case c&^mask != short:
 		return 0, ErrMalformed
 	}
+	return d.length(n, size)
+}
+
+// length is n, or where that has bytes of its own what they say, if it can be one.
+func (d *decoder) length(n uint64, size int) (_ int, err error) {
 	if size > 0 {
 		if n, err = d.be(size); err != nil {
 			return 0, err
@@ -253,15 +258,7 @@
 	default:
 		return 0, ErrMalformed
 	}
-	if size > 0 {
-		if n, err = d.be(size); err != nil {
-			return 0, err
-		}
-	}
-	if n > math.MaxInt32 {
-		return 0, ErrMalformed
-	}
-	return int(n), nil
+	return d.length(n, size)
 }
 
 // skip passes over any value.
--- a/internal/standin/router.go
+++ b/internal/standin/router.go
@@ -29,6 +29,17 @@
 	return r, err
 }
 
+// NewReadyRouter is NewRouter for one that says that it takes clients; handle gets all other messages.
+func NewReadyRouter(addr string, handle func(*Peer, rpcwire.Message)) (*Router, error) {
+	return NewRouter(addr, func(p *Peer, m rpcwire.Message) {
+		if string(m.Method) == "health" {
+			p.Health(m.ID, true)
+			return
+		}
+		handle(p, m)
+	})
+}
+
 func (r *Router) serve(nc net.Conn) {
 	p, buf, in := &Peer{Conn: nc}, []byte(nil), make([]byte, 64<<10)
 	for {
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -39,6 +39,20 @@
 	}},
 }
 
+// against starts so many routers and a client of theirs.
+func (k kind) against(bin string, routers int, later bool) (*Fleet, asker, error) {
+	f, err := NewFleet(bin, routers, later)
+	if err != nil {
+		return nil, nil, err
+	}
+	a, err := k.make(1, f.addrs(), func() {})
+	if err != nil {
+		f.Close()
+		return nil, nil, err
+	}
+	return f, a, nil
+}
+
 // worths are what a class's answer earns, and the time in which it does; later it earns a tenth.
 var worths = map[string]struct {
 	worth float64
@@ -137,15 +151,10 @@
 	fmt.Fprintf(to, "| storm of refusals, %v, 200 requests/s, 2 routers | tries per request in it | refused at once, median | from its end to 95%% served |\n| --- | --- | --- | --- |\n", 10*unit)
 	for _, later := range []bool{false, true} {
 		for _, k := range kinds {
-			f, err := NewFleet(bin, 2, later)
+			f, a, err := k.against(bin, 2, later)
 			if err != nil {
 				return err
 			}
-			a, err := k.make(1, f.addrs(), func() {})
-			if err != nil {
-				f.Close()
-				return err
-			}
 			begin, end := 2*unit, 12*unit
 			time.AfterFunc(begin, func() { f.Backend.Set(true, 0, 0) })
 			time.AfterFunc(end, func() { f.Backend.Set(false, 0, 0) })
@@ -315,16 +324,11 @@
 func LibraryOrders(bin string, unit time.Duration) (Orders, error) { return kinds[1].orders(bin, unit) }
 
 func (k kind) orders(bin string, unit time.Duration) (o Orders, err error) {
-	f, err := NewFleet(bin, 2, false)
+	f, a, err := k.against(bin, 2, false)
 	if err != nil {
 		return o, err
 	}
 	f.Backend.Set(false, 20*time.Millisecond, 0)
-	a, err := k.make(1, f.addrs(), func() {})
-	if err != nil {
-		f.Close()
-		return o, err
-	}
 	stop, ended := make(chan struct{}), make(chan error, 1)
 	go func() { ended <- f.killInTurn(unit, stop) }()
 	all := load(a, 100, 20*unit, 1, func(*rand.Rand) string { return "new-arrange" })
@@ -382,15 +386,10 @@
 	fmt.Fprintf(to, "| bad minute (%v), 150 requests/s, 3 routers | worth earned of worth asked | tries per request | asked of the page caches | ran twice |\n| --- | --- | --- | --- | --- |\n", 60*unit)
 	parts := map[string][]float64{} // by client: earned and asked in each phase
 	for _, k := range kinds {
-		f, err := NewFleet(bin, 3, true)
+		f, a, err := k.against(bin, 3, true)
 		if err != nil {
 			return err
 		}
-		a, err := k.make(1, f.addrs(), func() {})
-		if err != nil {
-			f.Close()
-			return err
-		}
 		var failed error
 		var script sync.WaitGroup
 		script.Go(func() { failed = f.misfortunes(unit) })
