Schedule chores under leases, and alone at the share of one, checked on the simulated network

Need: the bound on how often a page cache is probed must hold whatever the network loses, also while it is split. Change: Schedule says when an instance runs what: owners at their pace, a new owner after a whole time, instances on a side without a majority at 1/N of the rate; results carry epoch and age, and older ones are dropped.

--- a/internal/chores/lease_test.go
+++ b/internal/chores/lease_test.go
@@ -31,11 +31,12 @@
 	cut    map[[2]int]bool
 	epochs []uint64 // the highest under which each slot was owned
 	hash   uint64
-	sent   int
+	duties map[string]*duty // what was run; nil: the chores are left out
 }
 
 type node struct {
 	l       *Leases
+	sched   *Schedule
 	set     Settings
 	offset  time.Duration
 	rate    float64 // of its clock
@@ -101,7 +102,14 @@
 	if n.l, err = New(n.set); err != nil {
 		s.t.Fatal(err)
 	}
-	s.after(time.Duration(s.rnd.IntN(250))*ms, func() { s.tick(i, n.life) })
+	n.sched = NewSchedule(n.l, s.seed<<8+uint64(i))
+	var chores []Chore
+	for k := range 6 {
+		chores = append(chores, Chore{Key: fmt.Sprint("c", k), Every: time.Second})
+	}
+	n.sched.Set("probe", chores)
+	life := n.life
+	s.after(time.Duration(s.rnd.IntN(250))*ms, func() { s.tick(i, life) })
 }
 
 func (s *sim) tick(i, life int) {
@@ -116,6 +124,9 @@
 	local := n.clock(s.now)
 	next := n.l.Tick(local, time.Hour+s.now+n.skew)
 	s.post(i)
+	if s.duties != nil {
+		s.perform(i)
+	}
 	s.after(max(time.Duration(float64(next-local)/n.rate), ms), func() { s.tick(i, life) })
 }
 
@@ -126,7 +137,6 @@
 			if j == i || letter.To != "" && letter.To != to.set.Self || s.cut[[2]int{i, j}] || s.rnd.Float64() < s.loss {
 				continue
 			}
-			s.sent++
 			msg, life := letter.Msg, to.life
 			msg.Items = slices.Clone(msg.Items)
 			for range 1 + s.rnd.IntN(12)/11 { // now and then it comes twice
