--- a/internal/chores/lease_test.go
+++ b/internal/chores/lease_test.go
@@ -248,17 +248,21 @@
 	}
 }
 
-func play(t testing.TB, seed uint64) uint64 {
-	s := newSim(t, seed, 3+int(seed%3), 3)
+// rough plays one trouble after the other, and then lets all be well for a time.
+func (s *sim) rough(calm time.Duration) {
 	for range 8 {
 		s.run(time.Duration(s.rnd.IntN(1500)) * ms)
 		s.trouble()
 	}
 	s.run(3 * time.Second)
-	// What was wrong is over: every slot has its owner again.
 	clear(s.cut)
 	s.loss, s.most = 0, 20*ms
-	s.run(7 * time.Second)
+	s.run(calm)
+}
+
+func play(t testing.TB, seed uint64) uint64 {
+	s := newSim(t, seed, 3+int(seed%3), 3)
+	s.rough(7 * time.Second) // then every slot has its owner again
 	for slot := range s.epochs {
 		if s.owner(slot) < 0 {
 			t.Fatalf("seed %d: slot %d has no owner at the end", seed, slot)
--- a/internal/chores/schedule_test.go
+++ b/internal/chores/schedule_test.go
@@ -59,14 +59,7 @@
 		s := newSim(t, seed, 3+int(seed%3), 4)
 		seen := map[string]*duty{}
 		s.duties = seen
-		for range 8 {
-			s.run(time.Duration(s.rnd.IntN(1500)) * ms)
-			s.trouble()
-		}
-		s.run(3 * time.Second)
-		clear(s.cut)
-		s.loss, s.most = 0, 20*ms
-		s.run(9 * time.Second)
+		s.rough(9 * time.Second)
 		most := 2*int(s.now/(800*ms)) + 2*len(s.nodes)
 		for i := range 6 {
 			if d := seen[fmt.Sprint("c", i)]; d == nil || s.now-d.last > 3*time.Second || d.runs > most {
