--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 # The operators' build line is tested as it stands in the deploy file.
 test: lint
 	sh -c "$$(sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)"
+	@readelf -d bin/hillknot | grep -q 'NEEDED.*libc\.so' || { echo "bin/hillknot is not linked dynamically" >&2; exit 1; }
 	go test -count=1 ./...
 
 run: build
