Leave the link to first tries: who asks again gets fills up to half its bound

At 4 s every copy is purged and one parent of four turns some 15 times slower. From 5 s to 13 s 400 to 670 requests a second of 1,250 are refused for want of room on the location's link, clients ask again after each refusal (850 first tries a second become 1,350), and 25 to 33 of the 80 to 90 seconds of sending that the links carry each second go to answers that are late already. Ruled out: connection failures and resets (0 in all logs), slow origin (first byte after 140 ms throughout), places for fills at the caches (no such note). At fault: brain.readPath treated a client's further try like its first; the protocol's mark of it ('second', isRetry) was dropped in msgrpc and wire. Change: the mark reaches the module, which fills for such requests only while the link is under half its bound. A hit is still served.

--- a/brain/api.go
+++ b/brain/api.go
@@ -118,6 +118,7 @@
 		Left   time.Duration // until the client gives this try up
 		SizeKB float64       // 0: not told
 		Write  bool
+		Again  bool // the client has asked before: its first try was refused, failed or too slow
 	}
 	// Outcome ends one attempt.
 	Outcome struct {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 	crowdLeast   = 2.0                    // and this many more is crowded
 	linkMost     = 2.5                    // a link not told may be learned to carry this x startLimit
 	favourSmall  = 1.3                    // bounds are wider by this for requests cheaper than the mean
+	againPart    = 0.5                    // and narrower by this for clients that ask again: late already
 	toldRoom     = 0.7                    // part of the link's room that we use where its size is told
 	guessedRoom  = 0.5                    // and where it is only learned, which needs a wider margin
 	congested    = 1.3                    // an answer over this x its sending time shared a full link
@@ -277,7 +278,11 @@
 	if a.node.role == cache && !r.missed {
 		a.fills = a.node.misses
 	}
-	if a.source == nil || b.link+a.fills > b.linkRoom*b.favour(r) {
+	room := b.linkRoom * b.favour(r)
+	if r.Again {
+		room = b.linkRoom * againPart
+	}
+	if a.source == nil || b.link+a.fills > room {
 		if r.missed || a.node.role != cache {
 			return attempt{} // waits for the link
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,7 @@
 	Holds          string        // tag of the copy that the client has
 	Body           []byte
 	Write          bool
+	Again          bool // the client has asked before
 	// Reply is called once on the core's goroutine, unless the request is withdrawn. It returns what the client was
 	// told in the end: an answer that can't be passed on becomes a failure.
 	Reply func(Answer) Verdict
@@ -95,6 +96,7 @@
 type request struct {
 	Request
 	id      brain.RequestID
+	since   time.Duration
 	end     time.Duration
 	attempt *Attempt
 	ran     bool // an attempt may have run
@@ -132,6 +134,7 @@
 	tallies    []Tally
 	dispatches uint64
 	snap       atomic.Pointer[Snapshot]
+	trace      bool
 }
 
 // New returns a core round a module with these settings. The clock counts from the Unix epoch.
@@ -149,7 +152,7 @@
 		c.tallies = append(c.tallies, Tally{Class: k.Name})
 	}
 	c.tallies = append(c.tallies, Tally{Class: Unknown})
-	c.now = clock()
+	c.now, c.trace = clock(), tracing()
 	c.publish()
 	return c, nil
 }
@@ -265,12 +268,13 @@
 		c.reply(&q, Answer{Verdict: Failed, Reason: "BadRequest"})
 		return
 	}
-	r := &request{Request: q, id: id, end: c.now + left}
+	r := &request{Request: q, id: id, since: c.now, end: c.now + left}
+	c.traceRequest(r)
 	c.open[id] = r
 	c.txns[q.Txn] = true
 	heap.Push(&c.timers, timer{at: r.end, request: r})
 	c.events = append(c.events, brain.Request{ID: id, Class: q.Class, Object: q.Object, Part: q.Part, Group: q.Group,
-		Left: left, Write: q.Write})
+		Left: left, Write: q.Write, Again: q.Again})
 }
 
 // Withdraw ends a request whose client no longer waits: nothing is owed, and its attempt is given up.
@@ -305,6 +309,7 @@
 		c.up.Quit(at)
 		c.End(at, End{Status: brain.Cancelled})
 	}
+	c.traceAnswer(r, a.Verdict)
 	c.reply(&r.Request, a)
 }
 
@@ -334,6 +339,7 @@
 		a.Source = c.members[g.Source]
 	}
 	r.attempt = a
+	c.traceAttempt(a)
 	if a.until < r.end {
 		heap.Push(&c.timers, timer{at: a.until, attempt: a})
 	}
@@ -370,8 +376,10 @@
 	r := a.owner
 	r.attempt = nil
 	r.ran = r.ran || !e.Status.NeverRan()
+	c.traceEnd(a, e)
 	if e.Status == brain.OK && c.open[r.id] == r {
 		c.forget(r)
+		c.traceAnswer(r, Served)
 		if e.Unchanged {
 			c.reply(&r.Request, Answer{Verdict: Unchanged})
 		} else {
--- /dev/null
+++ b/internal/core/trace.go
@@ -0,0 +1,40 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+)
+
+// At the level debug the log has a line for each request, attempt and end, so that a bad minute can be counted over
+// the logs of a whole fleet. At any other level these cost one look at a flag.
+
+// tracing tells whether anybody reads the lines.
+func tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
+func (c *Core) traceRequest(r *request) {
+	if c.trace {
+		slog.Debug("request", "id", r.id, "class", r.Class, "object", r.Item, "part", r.Part, "left", r.end-c.now, "again", r.Again)
+	}
+}
+
+func (c *Core) traceAttempt(a *Attempt) {
+	if c.trace {
+		source := "none"
+		if a.Source != nil {
+			source = a.Source.ID
+		}
+		slog.Debug("attempt", "id", a.owner.id, "n", a.Index, "node", a.Node.ID, "source", source, "keep", a.Get.Keep, "age", a.Get.MaxAge)
+	}
+}
+
+func (c *Core) traceEnd(a *Attempt, e End) {
+	if c.trace {
+		slog.Debug("end", "id", a.owner.id, "n", a.Index, "status", e.Status, "note", e.Note, "took", c.now-a.sent, "waited", e.Waited)
+	}
+}
+
+func (c *Core) traceAnswer(r *request, v Verdict) {
+	if c.trace {
+		slog.Debug("answer", "id", r.id, "verdict", v, "after", c.now-r.since)
+	}
+}
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -145,7 +145,8 @@
 		nth = "0"
 	}
 	return core.Request{Txn: string(f.Txn), Item: string(f.Item), Nth: nth, Class: string(m.Method), Object: object,
-		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write}, ""
+		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write,
+		Again: string(f.Second) == "1"}, ""
 }
 
 // number reads a whole number; an absent one is 0.
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -84,7 +84,7 @@
 
 func (c *client) call(id int, method string) {
 	c.send(0, id, method, []any{map[string]string{"txn": "9b1f03aa5c7e2d41", "limit": "1500", "item": "7f3a9c21e0b4d655",
-		"nth": "3", "batch": "17", "got": "4be0"}, []byte("body")})
+		"nth": "3", "batch": "17", "got": "4be0", "second": "1"}, []byte("body")})
 }
 
 // answer reads the next answer, which is to [1, id, error, result].
@@ -108,7 +108,7 @@
 	c := dial()
 	c.call(1, "page")
 	q := <-d.got
-	if q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Limit != 1500*time.Millisecond ||
+	if !q.Again || q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Limit != 1500*time.Millisecond ||
 		q.Holds != "4be0" || string(q.Body) != "body" {
 		t.Errorf("request %+v", q)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -209,7 +209,7 @@
 			ID: id(), Class: f.text("grade", true), Object: f.hex("file", false),
 			Part: f.uint("rangeNo", 64, false), Group: f.uint("group", 64, false),
 			Left: f.micros("remainingUs", true), SizeKB: f.number("kbytes"),
-			Write: f.flag("update"),
+			Write: f.flag("update"), Again: f.flag("isRetry"),
 		}
 	case "WITHDRAWN_COPY":
 		_, byObject := f.m["file"]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -31,7 +31,7 @@
 		"SHEET\trosterId=0\tlines=0\n"+
 		"REGISTRY\ti=director-3\tform=INCREMENTAL\tindex=42\trosterId=0\n"+
 		"REGISTRY\ti=director-3\tform=FAILED\tindex=42\trosterId=9\n"+
-		"NEW_REQUEST\ti=director-3\tid=36\tgrade=a\tfile=91f03b7c55d20a64\tremainingUs=240000\tkbytes=640\tgroup=11\trangeNo=3\tnew=x\n"+
+		"NEW_REQUEST\ti=director-3\tid=36\tgrade=a\tfile=91f03b7c55d20a64\tremainingUs=240000\tkbytes=640\tgroup=11\trangeNo=3\tisRetry=1\tnew=x\n"+
 		"WITHDRAWN_COPY\ti=director-3\tsetNo=11\tageSpanUs=85000\n"+
 		"RESOLVED\ti=director-3\tid=36\tcopy=1\tnode=51530247\thow=503\ttookUs=18500\tremark=9\tserverStats=x0:0.4\n"+
 		"CHECKED\ti=director-3\ttookUs=1400\tnode=51530247\thow=502\n"+
@@ -59,7 +59,7 @@
 		brain.Members{},
 		brain.Members{Failed: true},
 		brain.Request{ID: 36, Class: "a", Object: 0x91f03b7c55d20a64, Part: 3, Group: 11,
-			Left: 240 * time.Millisecond, SizeKB: 640},
+			Left: 240 * time.Millisecond, SizeKB: 640, Again: true},
 		brain.Purge{ByGroup: true, Group: 11, Ago: 85 * time.Millisecond},
 		brain.Outcome{ID: 36, Attempt: 1, Node: 51530247, Status: brain.Full, Took: 18500 * time.Microsecond,
 			Note: brain.NoPlace},
