Learn the usual load of a router that has run for less than its span

The lost location's five caches are back, cold, from 12 s on; its seven routers then serve 19 to 38 requests a second of the 60 they served before and refuse 50 to 115 without an attempt, for the twelve seconds left. Of 250 refusals a second at 5 s to 12 s half are theirs as well, with all caches gone: nothing can be served there. Ruled out: the bound of the link (few fills were out), the caches' bound, health (no cache was avoided). At fault: brain.usual. Its mean over 10 s counts the time before the first request as idle, so a router of 5 s knows 0.39 of its load, and withinBudget sends a cold cache 0.39 of what it may be sent until new peaks come up. Change: the mean is divided by the part of its span that has been seen, from a quarter of the span on. Test: TestUsualLoadOfAYoungRouter, seen to fail without the correction.

--- a/brain/again_test.go
+++ b/brain/again_test.go
@@ -1,6 +1,9 @@
 package brain
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // While the location's link is half full, a client that asks again gets what its cache holds and no fill: its first
 // try has used up the time, and the fill would make requests late that are still in time.
@@ -31,3 +34,17 @@
 		t.Errorf("%d fills of those who ask again on a full link", more)
 	}
 }
+
+// A router that has run for a few seconds knows its usual load from these alone: a mean that counts the time before
+// its start as idle would send a cold cache a third of what it may be sent, until it is warm.
+func TestUsualLoadOfAYoungRouter(t *testing.T) {
+	for _, age := range []time.Duration{3 * sec, 5 * sec, 60 * sec} {
+		r := newRig(t, site(), fleet())
+		for until := r.now + age; r.now < until; r.now += 50 * ms {
+			r.end(r.ask("page", uint64(r.id)), 0, OK, Hit)
+		}
+		if peak := r.b.load[cache].peak; peak < 1.8 || peak > 2.4 { // 20 a second, 0.1 s each
+			t.Errorf("after %v: %.2f s of sending a second, not 2", age, peak)
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -798,7 +798,11 @@
 	l := &b.load[ro]
 	dt := (b.now - l.at).Seconds()
 	l.rate = l.rate*math.Exp(-dt/usualOver.Seconds()) + work/usualOver.Seconds()
-	l.peak = max(l.peak*math.Exp(-dt/peakOver.Seconds()), l.rate)
+	rate := l.rate
+	if age := b.now - b.born; age >= usualOver/4 { // over less, chance says more than the load
+		rate /= 1 - math.Exp(-age.Seconds()/usualOver.Seconds())
+	}
+	l.peak = max(l.peak*math.Exp(-dt/peakOver.Seconds()), rate)
 	l.at = b.now
 }
 
