Doubt the origin sooner the more routers share it

From 4 s on the origin is slow while every copy is void. All fills need it: it is asked for 170 to 215 a second at 5 s to 7 s and gives some 115 to 120, so its first byte comes after 0.35, 0.5 and 0.7 s (0.09 s before), which makes nearly all of these answers late. The routers' trust in it falls only as far down at 8 s: each sees two of its answers a second, each cuts its trust to a half, and 80 of them have to find out alone. At fault: trustCut in brain.weigh, one figure whatever the number of directors. Change: a slow answer leaves the trust in the origin at 0.5 over the root of directors / 20: 0.25 with 80 directors, 0.5 with up to 20. Test: TestOriginIsDoubtedSoonerWhereManyShareIt, seen to fail without the division.

--- a/brain/again_test.go
+++ b/brain/again_test.go
@@ -48,3 +48,23 @@
 		}
 	}
 }
+
+// What one director learns of the origin thins out as more of them share it: each counts a slow answer for more.
+func TestOriginIsDoubtedSoonerWhereManyShareIt(t *testing.T) {
+	trust := func(directors int) float64 {
+		s := site()
+		s.DirectorsIn = []int{0, directors}
+		r := newRig(t, s, fleet())
+		g := r.ask("page", 1)
+		r.now += 400 * ms
+		r.do(Outcome{ID: g.ID, Node: g.Node, Settled: true, Note: FilledByOrigin, Took: 400 * ms, Waited: 300 * ms})
+		if parent := r.b.trust(r.b.members[g.Source]); parent != 1 {
+			t.Errorf("%d directors: the parent has the trust %.2f", directors, parent)
+		}
+		return r.b.trust(r.b.origin)
+	}
+	few, many := trust(4), trust(80)
+	if few != trustCut || many < 0.2 || many > 0.3 {
+		t.Errorf("one slow answer leaves %.2f with 4 directors, %.2f with 80", few, many)
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,6 +26,7 @@
 	leastSpare   = 50 * time.Millisecond  // spared by a class without an aim
 	trustCut     = 0.5                    // trust is cut to this by a slow answer; more: ageing shows late
 	trustBack    = 0.1                    // and grows by this with a quick one; more: a fifth may be slow
+	thinOver     = 20.0                   // with more directors, each sees little of the origin
 	leastTrust   = 0.05                   // never less: a few requests must show that it is well again
 	forgiveTime  = 30 * time.Second       // trust comes back over this by itself; less: bad ones are retried
 	peerPart     = 0.35                   // of the best peer's trust, less costs range; more: homes move more
@@ -590,8 +592,7 @@
 // scan looks over the open attempts: it forgets what is over and finds who is silent.
 func (b *Brain) scan() {
 	b.ticking = false
-	keep := b.order[:0]
-	for _, r := range b.order {
+	b.order = slices.DeleteFunc(b.order, func(r *request) bool {
 		out := 0
 		for i := range r.attempts {
 			if a := &r.attempts[i]; a.out {
@@ -607,12 +608,9 @@
 		}
 		if r.done && out == 0 {
 			delete(b.open, r.ID)
-			continue
 		}
-		keep = append(keep, r)
-	}
-	clear(b.order[len(keep):])
-	b.order = keep
+		return r.done && out == 0
+	})
 	b.resume()
 	b.tick()
 }
@@ -713,7 +711,7 @@
 func (b *Brain) weigh(m *member, quick bool) {
 	t := min(1, b.trust(m)+trustBack)
 	if !quick {
-		t = max(leastTrust, b.trust(m)*trustCut)
+		t = max(leastTrust, b.trust(m)*b.cut(m))
 	}
 	m.doubt, m.doubted, b.best[m.role] = 1-t, b.now, leastTrust
 	peers := b.parents
@@ -727,6 +725,15 @@
 	}
 }
 
+// cut is what a slow answer leaves of the trust in a member. The more directors share the origin, the fewer
+// of its answers each sees, and the longer all ask too much of it; the root leaves room for chance.
+func (b *Brain) cut(m *member) float64 {
+	if m.role != origin {
+		return trustCut
+	}
+	return trustCut / math.Sqrt(max(1, b.directors()/thinOver))
+}
+
 // trust is how well a member has answered lately, up to 1.
 func (b *Brain) trust(m *member) float64 {
 	return min(1, 1-m.doubt+float64(b.now-m.doubted)/float64(forgiveTime))
@@ -958,12 +965,7 @@
 	}
 	b.caches, b.parents, b.origin = b.caches[:0], b.parents[:0], nil
 	var fleet [4]float64
-	ids := make([]NodeID, 0, len(b.members))
-	for id := range b.members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(b.members)) {
 		m := b.members[id]
 		if ev.Full && !listed[id] {
 			m.state = Gone
--- a/brain/state.go
+++ b/brain/state.go
@@ -48,6 +48,14 @@
 	fleet    [4]float64    // the most that was listed of a role at once
 }
 
+// directors is how many there are in all locations.
+func (b *Brain) directors() (n float64) {
+	for _, in := range b.s.DirectorsIn {
+		n += float64(max(in, 0))
+	}
+	return n
+}
+
 type class struct {
 	Class
 	work float64 // mean sending time in seconds
