Count a release's old members no longer beside those that replace them

From 7 s to 17 s 50 to 300 requests a second are refused without an attempt, in the locations whose caches were replaced; the new caches' budgets bound them. At fault: brain.list counted whoever is listed and not gone, so that the old caches that drain and the new ones stood beside each other, and kept the sum as the most there ever were: each new cache got half of its budget for good. Change: only members in service count. Test: TestReleaseKeepsColdBudget, seen to fail without the change.

--- a/brain/again_test.go
+++ b/brain/again_test.go
@@ -68,3 +68,21 @@
 		t.Errorf("one slow answer leaves %.2f with 4 directors, %.2f with 80", few, many)
 	}
 }
+
+// A release lists the new members while the old ones drain. The usual load is that of as many as served at once: with
+// both counted, each new one would get half of what it may be sent for as long as the router lives.
+func TestReleaseKeepsColdBudget(t *testing.T) {
+	r := newRig(t, site(), fleet())
+	drained, fresh := fleet()[:3], []Entry{}
+	for i := range drained {
+		drained[i].State = Draining
+		e := node(NodeID(5+i), "box", "edge")
+		e.Start = r.now
+		fresh = append(fresh, e)
+	}
+	r.do(Members{Entries: drained})
+	r.do(Members{Entries: fresh})
+	if n := r.b.fleet[cache]; n != 3 {
+		t.Errorf("%v page caches at once, not 3", n)
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -976,7 +976,7 @@
 			}
 			continue
 		}
-		if m.role != cache || m.zone == b.s.Zone {
+		if b.ready(m) && (m.role != cache || m.zone == b.s.Zone) { // who drains is being replaced
 			fleet[m.role] += b.size(m)
 		}
 		switch {
