Give each router room for chance on the link, and learn its bound from all fills

Ten requests a second reach a router; its part of the link is 1.4 to 2.6 transfers, and chance alone fills that in half of all moments while its neighbours' parts are idle. At fault: brain.linkLimit divided the link's bound by the routers of the location as if their load were even; brain.learn saw fills of known size alone, which a router that sees an object once hardly has, so the bound never moved back. Changes: the part is wider by its root (times 1 less 1 over the routers: nothing for one alone). Fills of unknown size move the bound too, as far as others share the link; alone they would be noise. Tests: TestLinkLeavesRoomForChance, TestLinkLearnsFromUnknownSizesWhereShared, both seen to fail without their change.

--- a/brain/again_test.go
+++ b/brain/again_test.go
@@ -86,3 +86,36 @@
 		t.Errorf("%v page caches at once, not 3", n)
 	}
 }
+
+// The part of one director among many is small beside what chance brings it. A bound of just that part would leave the
+// link idle while requests are refused; one with room for chance must still keep all together near what the link fits.
+func TestLinkLeavesRoomForChance(t *testing.T) {
+	for beside, want := range map[int][2]float64{1: {16, 16}, 4: {5, 6}, 16: {1.9, 2.1}} {
+		s := site()
+		s.DirectorsIn, s.LinkKBps = []int{0, beside}, []float64{0, 8000} // the link fits 8 transfers
+		if room := newRig(t, s, fleet()).b.linkRoom; room < want[0] || room > want[1] {
+			t.Errorf("%d directors: room for %.2f each, not %v", beside, room, want)
+		}
+	}
+}
+
+// Where many share a link, each sees what the others have on it only in how long its own fills take, and few of those
+// are of a size that it knows. Alone, its own count tells more than a guess.
+func TestLinkLearnsFromUnknownSizesWhereShared(t *testing.T) {
+	for beside, shrinks := range map[int]bool{1: false, 8: true} {
+		s := site()
+		s.DirectorsIn, s.LinkKBps, s.Direct = []int{0, beside}, []float64{0, 8000}, false
+		r := newRig(t, s, fleet())
+		before := r.b.linkRoom
+		for range 5 {
+			r.id++
+			for _, g := range gets(r.do(Request{ID: r.id, Class: "page", Object: uint64(r.id), Left: 3 * sec})) {
+				r.now += 500 * ms
+				r.do(Outcome{ID: g.ID, Node: g.Node, Settled: true, Note: Filled, Took: 2 * sec, Waited: 50 * ms})
+			}
+		}
+		if after := r.b.linkRoom; (after < before) != shrinks {
+			t.Errorf("%d directors: room for %.2f, then %.2f", beside, before, after)
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	linkMost     = 2.5                    // a link not told may be learned to carry this x startLimit
 	favourSmall  = 1.3                    // bounds are wider by this for requests cheaper than the mean
 	againPart    = 0.5                    // and narrower by this for clients that ask again: late already
+	chance       = 1.0                    // a bound is wider by this x the root of our part, if shared
 	toldRoom     = 0.7                    // part of the link's room that we use where its size is told
 	guessedRoom  = 0.5                    // and where it is only learned, which needs a wider margin
 	congested    = 1.3                    // an answer over this x its sending time shared a full link
@@ -300,14 +301,17 @@
 
 // linkLimit first bounds what is under way on the location's link, fills and what passes the caches by. It
 // guards against a jam of fills: after a mass purge, a cold return or in a burst they would share the link
-// until all are late and every place for a fill is taken. Over the limit hits are still served.
-// What is told of the link sets it; where nothing is told, it may be learned to be higher.
+// until all are late and every place for a fill is taken. Over the limit hits are still served. What is told
+// of the link sets it, else it may be learned to be higher. Each of many directors has room for chance too:
+// while one has more to fill than its part, others have less.
 func (b *Brain) linkLimit() (first, most, room float64) {
 	limit, over, room := startLimit, linkMost, guessedRoom
 	if fits := b.linkFits(); fits > 0 {
 		limit, over, room = linkShare*fits, 1, toldRoom
 	}
-	return max(leastLimit, limit/b.beside()), max(leastLimit, over*limit/b.beside()), room
+	m := limit / b.beside()
+	m += chance * math.Sqrt(m*(1-1/b.beside()))
+	return max(leastLimit, m), max(leastLimit, over*m), room
 }
 
 // limit bounds our attempts outstanding at a cache: our part of what its link carries in time for all
@@ -569,14 +573,19 @@
 
 // learn moves the bound of the location's link towards what it can have under way and still be in time: as
 // many more as would have made this fill late. It guards against a jam of fills that outlasts its cause.
+// What others have on the link shows only in these times: a size not known counts as its class's, the more so
+// the more share the link.
 func (b *Brain) learn(r *request, a *attempt, ev Outcome) {
 	w, filled := r.work, ev.Note == Filled || ev.Note == FilledByOrigin
-	if !filled || a.node.role != cache || a.source.role != parent || r.SizeKB == 0 && r.object.work == 0 {
+	if !filled || a.node.role != cache || a.source.role != parent {
 		return
 	}
 	room := b.linkPart * a.besideLink * (w + r.spare()) / max(ev.Took.Seconds(), w)
 	if ev.Took > seconds(congested*w) || room > b.linkRoom {
 		gain := w / (w + r.class.work) * learnGain
+		if r.SizeKB == 0 && r.object.work == 0 {
+			gain *= 1 - 1/b.beside()
+		}
 		b.linkRoom = min(max(leastLimit, b.linkRoom+(room-b.linkRoom)*gain), b.linkMost)
 	}
 }
@@ -777,13 +786,6 @@
 
 // ---- Cold starts ----
 
-func (b *Brain) rule(m *member) ColdRule {
-	if m.role == parent {
-		return b.s.Parent
-	}
-	return b.s.Cache
-}
-
 // owns tells whether a member has the object in its share of its range, which rises in a line after a start
 // and shrinks while it is slower than its peers. The object's hash decides, so that routers agree.
 func (b *Brain) owns(key uint64, m *member) bool {
@@ -815,8 +817,8 @@
 
 // cold tells whether the fail-back rule bounds what a member is sent.
 func (b *Brain) cold(m *member) bool {
-	c := b.rule(m)
-	return m.start > 0 && m.role != origin && b.now-m.start < c.Warm && c.Window > 0
+	c := b.rules[m.role]
+	return m.start > 0 && b.now-m.start < c.Warm && c.Window > 0
 }
 
 // withinBudget keeps the fail-back rule alone. Each router takes the usual load that it sends to a warm
@@ -827,7 +829,7 @@
 	if !b.cold(m) {
 		return true
 	}
-	c, usual := b.rule(m), b.load[m.role].peak
+	c, usual := b.rules[m.role], b.load[m.role].peak
 	if b.now-b.born < usualOver { // nothing seen yet: part of what is asked for
 		usual = max(usual, coldGuess*b.load[other].peak)
 	}
@@ -846,7 +848,7 @@
 
 // coldRate is the work that a cold member may be sent each second, less what resolvers hold of it.
 func (b *Brain) coldRate(m *member, usual float64) float64 {
-	c, w := b.rule(m), b.size(m)
+	c, w := b.rules[m.role], b.size(m)
 	share := c.Share + (1-c.Share)*float64(b.now-m.start)/float64(c.Warm)
 	rate := budgetSlack * c.Multiple * share * usual * w / max(b.fleet[m.role], w)
 	m.leases = slices.DeleteFunc(m.leases, func(l lease) bool { return b.now >= l.until })
@@ -903,11 +905,9 @@
 // ---- Purges ----
 
 func (b *Brain) purge(ev Purge) {
-	for k, at := range b.purges {
-		if b.now-at > b.s.PurgeDone+purgeMargin {
-			delete(b.purges, k)
-		}
-	}
+	maps.DeleteFunc(b.purges, func(_ purgeKey, at time.Duration) bool {
+		return b.now-at > b.s.PurgeDone+purgeMargin
+	})
 	k, at := purgeKey{ev.ByGroup, ev.Object}, max(b.now-ev.Ago, 1) // 0 would say that there was none
 	if ev.ByGroup {
 		k.name = ev.Group
--- a/brain/state.go
+++ b/brain/state.go
@@ -40,6 +40,7 @@
 	objects  [2]map[part]*object // young and old generation
 	born     time.Duration       // first request
 	best     [4]float64
+	rules    [4]ColdRule   // of members by role; the origin has none
 	asked    bool          // for changes of the list
 	turned   time.Duration // when the generations were turned
 	purges   map[purgeKey]time.Duration
@@ -164,6 +165,7 @@
 		open: map[RequestID]*request{}, purges: map[purgeKey]time.Duration{}}
 	b.linkRoom, b.linkMost, b.linkPart = b.linkLimit()
 	b.best = [4]float64{1, 1, 1, 1}
+	b.rules = [4]ColdRule{cache: s.Cache, parent: s.Parent}
 	b.objects = [2]map[part]*object{{}, {}}
 	for _, c := range s.Classes {
 		if c.Aim < 0 || c.Deadline < 0 || c.Window < 0 || c.Fresh < 0 {
