Hold fewer connections where many routers share a page cache; check the fleet's figures

At fault: limits.ConnsPerCache, 4 whatever the number of routers. Change: the routers of a location together hold about 16 to one cache, 1 to 4 each: with up to four routers all is as before. The same figure is now checked at the start: instancesByZone must be there, with one figure a location and one router or more in the own; it and pipeKbPerS in range. A wrong one would not show in a router, only in all of them. Tests: TestConnectionsByRoutersBeside, and five faulty figures in TestFaultyKeys.

--- a/cmd/hillknot/main_test.go
+++ b/cmd/hillknot/main_test.go
@@ -16,7 +16,7 @@
 
 const conf = `{"listen":%q,"journal":%q,"known":{"pos":7,"entries":[{"pos":7,"hosts":{"reset":true,"instances":[
 	{"instanceId":"s-1","hostPort":%q,"zone":"e","lifecycle":"ready"}]}}]},"settings":{"dcs":["e"],"locality":"e",
-	"profiles":[{"name":"a","deadlineUs":3000000}]}}`
+	"profiles":[{"name":"a","deadlineUs":3000000}],"specifics":{"instancesByZone":[1]}}}`
 
 const nobody = "127.0.0.1:9"
 
--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -24,7 +24,7 @@
 	{"instanceId":"s-2","hostPort":"127.0.0.1:9","zone":"hub","machineType":"origin","lifecycle":"ready","weight":1}]}}]},
 	"settings":{"dcs":["hub","e"],"locality":"e","hostTypes":["small","parent","origin"],"allowed":{"cancel":true,"maxAttempts":6,
 	"retryAfter":true,"maxRetryAfterUs":100000},"profiles":[{"name":"part-page","repeat":"safe","deadlineUs":3000000},
-	{"name":"new-arrange","repeat":"unsafe","deadlineUs":3000000}],"specifics":{"midKind":1,"storeKind":2,"classWrite":[false,true]}}}`
+	{"name":"new-arrange","repeat":"unsafe","deadlineUs":3000000}],"specifics":{"instancesByZone":[0,1],"midKind":1,"storeKind":2,"classWrite":[false,true]}}}`
 
 // router runs the router on a listener of its own until the test ends, with the configuration's text for a listener,
 // a journal and a page cache.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -142,6 +143,7 @@
 	if doc != nil {
 		doc.unknown(o)
 	}
+	checkFleet(o.Object("settings"), c)
 	for _, k := range c.Settings.Classes {
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
@@ -156,6 +158,43 @@
 	return c, nil
 }
 
+const (
+	mostRouters   = 100_000 // in one location; more is a slip of the pen
+	connsOfCache  = 16      // that the routers of a location hold to one page cache together, about
+	connsPerCache = 4       // and each, at most
+)
+
+// checkFleet checks what is told of the fleet that the router stands in, and sets what follows from it. A wrong figure
+// would not show in one router: all of them together would ask too much of page caches and links, or too little.
+func checkFleet(set fields.Object, c *Config) {
+	spec, s, name := set.Object("specifics"), c.Settings, "instancesByZone"
+	spec.Must(name)
+	own := slices.Index(s.Zones, s.Zone)
+	switch {
+	case own < 0 || !spec.Has(name): // told already
+		return
+	case len(s.DirectorsIn) != len(s.Zones):
+		spec.Fail(name, fmt.Sprintf("holds %d figures for %d locations", len(s.DirectorsIn), len(s.Zones)))
+		return
+	case s.DirectorsIn[own] < 1:
+		spec.Fail(name, "holds no router for the own location")
+	}
+	for _, n := range s.DirectorsIn {
+		if n < 0 || n > mostRouters {
+			spec.Fail(name, fmt.Sprintf("holds %d, which is out of range (0 to %d)", n, mostRouters))
+		}
+	}
+	if n := len(s.LinkKBps); n > 0 && n != len(s.Zones) {
+		spec.Fail("pipeKbPerS", fmt.Sprintf("holds %d figures for %d locations", n, len(s.Zones)))
+	}
+	for _, kb := range s.LinkKBps {
+		if kb < 0 {
+			spec.Fail("pipeKbPerS", "holds a figure under 0")
+		}
+	}
+	c.Limits.ConnsPerCache = max(1, min(connsPerCache, connsOfCache/max(1, s.DirectorsIn[own])))
+}
+
 // isJSON tells JSON from HCL, which can't begin with a brace.
 func isJSON(text []byte) bool { return bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) }
 
@@ -239,11 +278,10 @@
 		Margin:      15 * ms,
 		Overhang:    200 * ms,
 
-		ConnsPerCache: 4,
-		AnswerLine:    1 << 10,
-		Object:        240_000,
-		Connect:       allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
-		UpstreamIdle:  allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
+		AnswerLine:   1 << 10,
+		Object:       240_000,
+		Connect:      allowed.Span("connectTimeoutUs", time.Microsecond, 400*ms),
+		UpstreamIdle: allowed.Span("keepaliveUs", time.Microsecond, 30*time.Second) / 2,
 
 		UpstreamSilent: time.Second,
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,7 +9,7 @@
 )
 
 const base = `{"listen":"127.0.0.1:1","journal":"127.0.0.1:2","settings":{"dcs":["e"],"locality":"e",
-	"profiles":[{"name":"a","deadlineUs":3000000}]}`
+	"specifics":{"instancesByZone":[1],"pipeKbPerS":[0]},"profiles":[{"name":"a","deadlineUs":3000000}]}`
 
 func TestFiles(t *testing.T) {
 	c, err := Load("../../example/config.json", "../../deploy/operator.hcl")
@@ -49,6 +49,16 @@
 	}
 }
 
+// Page caches have few places for connections: the more routers share them, the fewer each holds.
+func TestConnectionsByRoutersBeside(t *testing.T) {
+	for beside, want := range map[string]int{"1": 4, "4": 4, "7": 2, "14": 1, "500": 1} {
+		c, err := Parse([]byte(strings.Replace(base, `Zone":[1]`, `Zone":[`+beside+`]`, 1)+"}"), nil, "")
+		if err != nil || c.Limits.ConnsPerCache != want {
+			t.Errorf("%s routers: %+v, %v; want %d connections each", beside, c, err, want)
+		}
+	}
+}
+
 func TestFaultyKeys(t *testing.T) {
 	for text, want := range map[string]string{
 		`{}`: `"listen" is missing`,
@@ -59,6 +69,11 @@
 		base + `,"dns":{"listen":"127.0.0.1:3","names":["a..b"]}}`:         `"dns.names"`,
 		base + `,"dns":{"listen":"127.0.0.1:3","names":["a"],"ttl_s":0}}`:  `"dns.ttl_s"`,
 		base + `,"health":{"listen":"127.0.0.1:3"}}`:                       `"health"`,
+		strings.Replace(base, `"instancesByZone":[1],`, ``, 1) + `}`:       `"settings.specifics.instancesByZone"`,
+		strings.Replace(base, `Zone":[1]`, `Zone":[0]`, 1) + `}`:           `"settings.specifics.instancesByZone"`,
+		strings.Replace(base, `Zone":[1]`, `Zone":[1,1]`, 1) + `}`:         `"settings.specifics.instancesByZone"`,
+		strings.Replace(base, `Zone":[1]`, `Zone":[2000000]`, 1) + `}`:     `"settings.specifics.instancesByZone"`,
+		strings.Replace(base, `PerS":[0]`, `PerS":[-1]`, 1) + `}`:          `"settings.specifics.pipeKbPerS"`,
 		strings.Replace(base, `"dcs":["e"]`, `"dcs":"e"`, 1) + `}`:         `"settings.dcs"`,
 		strings.Replace(base, `3000000`, `-1`, 1) + `}`:                    `"settings.profiles[0].deadlineUs"`,
 		strings.Replace(base, `"locality":"e"`, `"locality":"x"`, 1) + `}`: `"settings"`,
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -155,7 +155,7 @@
 			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": 18000000, "fallUs": 2000000, "overloadFactor": 4},
 			"profiles": []any{class("full-score", "safe", 400*ms, 5*time.Second, 2), class("part-page", "safe", 250*ms, 3*time.Second, 1),
 				class("new-arrange", "unsafe", 700*ms, 3*time.Second, 3)},
-			"specifics": map[string]any{"midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
+			"specifics": map[string]any{"instancesByZone": []int{0, 1}, "midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
 				"classFreshUs": []int{0, 20000000, 0}, "purgeTakesUs": 6000000},
 		},
 	})
