Count new members beside old ones only once they are warm

Ruled out: origin (first byte after 0.14 s throughout), parents (stretch 1.2 to 1.6), time-outs (under 10 a second). At fault: brain.list. Old and new caches are in service together for a second, and that sum stays as the most there ever were: half a budget for each new cache. Change: a cold member counts only where none is known yet, at the start; warm ones count as before. Test: TestReleaseKeepsColdBudget in both orders, seen to fail without the change.

--- a/brain/again_test.go
+++ b/brain/again_test.go
@@ -72,18 +72,24 @@
 // A release lists the new members while the old ones drain. The usual load is that of as many as served at once: with
 // both counted, each new one would get half of what it may be sent for as long as the router lives.
 func TestReleaseKeepsColdBudget(t *testing.T) {
-	r := newRig(t, site(), fleet())
 	drained, fresh := fleet()[:3], []Entry{}
 	for i := range drained {
 		drained[i].State = Draining
 		e := node(NodeID(5+i), "box", "edge")
-		e.Start = r.now
+		e.Start = 100 * sec
 		fresh = append(fresh, e)
 	}
-	r.do(Members{Entries: drained})
-	r.do(Members{Entries: fresh})
-	if n := r.b.fleet[cache]; n != 3 {
-		t.Errorf("%v page caches at once, not 3", n)
+	for _, order := range [][2][]Entry{{drained, fresh}, {fresh, drained}} { // some take the old ones out last
+		r := newRig(t, site(), fleet())
+		r.do(Members{Entries: order[0]})
+		r.do(Members{Entries: order[1]})
+		if n := r.b.fleet[cache]; n != 3 {
+			t.Errorf("%v page caches at once, not 3", n)
+		}
+		r = newRig(t, site(), append(fresh, node(1, "box", "edge")))
+		if n := r.b.fleet[cache]; n != 4 { // who starts then knows of no more
+			t.Errorf("%v page caches at the start, not 4", n)
+		}
 	}
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -976,7 +976,8 @@
 			}
 			continue
 		}
-		if b.ready(m) && (m.role != cache || m.zone == b.s.Zone) { // who drains is being replaced
+		settled := b.ready(m) && (b.fleet[m.role] == 0 || !b.cold(m)) // a release lists both, old and new
+		if settled && (m.role != cache || m.zone == b.s.Zone) {
 			fleet[m.role] += b.size(m)
 		}
 		switch {
