--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,6 +187,9 @@
 	if n := len(s.LinkKBps); n > 0 && n != len(s.Zones) {
 		spec.Fail("pipeKbPerS", fmt.Sprintf("holds %d figures for %d locations", n, len(s.Zones)))
 	}
+	if s.PaceKBps < 0 {
+		spec.Fail("paceKbPerS", "is under 0")
+	}
 	for _, kb := range s.LinkKBps {
 		if kb < 0 {
 			spec.Fail("pipeKbPerS", "holds a figure under 0")
