Ask a cache for nothing it was told to give up lately, on any connection

The module called the attempt off as its source went bad and named the same cache with another source. Client.Send wrote the QUIT on one connection and, as pool.pick skipped the connection whose past held the txn, the new ASK on another: the cache can read that one first and holds two copies.

The faulty lines were pool.pick's `!c.past.has(txn)` with past kept per connection, and lost(), which ended what was open on a closed connection without remembering it. past now belongs to the pool; a QUIT and a close both add to it, and Send ends an attempt for a txn there as Full (turned away unseen, never ran), so that the module sends it elsewhere.

--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -44,6 +44,7 @@
 	dialing int
 	waiting []*core.Attempt
 	dead    bool
+	past    past // requests given up here lately
 }
 
 // conn is a connection. It carries one attempt at a time as long as the pool may grow, so that a long answer
@@ -53,7 +54,6 @@
 	p     *pool
 	nc    *netio.Conn
 	open  map[string]*core.Attempt
-	past  past
 	quit  bool // takes nothing new
 	idled time.Duration
 	since time.Duration // it owes answers since then, or since the latest that came
@@ -65,8 +65,11 @@
 	return len(c.open) > 0 && c.cl.clock()-c.since > c.cl.lim.UpstreamSilent
 }
 
-// past remembers what was given up on a connection: an answer may yet cross, so the same is not asked for again
-// on it. It forgets after one to two times the longest request.
+// past remembers what was given up at a cache, by a QUIT or by closing its connection. A cache reads its
+// connections in no set order: the same request asked for again on another could reach it before it has read
+// the QUIT or the close, and it would hold two copies at once. On the same connection an answer could cross the
+// QUIT and be taken for the new one. So the same is not asked for again there. It forgets after one to two times
+// the longest request.
 type past struct {
 	txns   [2]map[string]bool // young and old
 	turned time.Duration
@@ -89,6 +92,10 @@
 		cl.pools[a.Node] = p
 	}
 	cl.reap(p)
+	if p.past.has(a.Request.Txn) { // turned away unseen: it goes to another cache
+		cl.core.End(a, core.End{Status: brain.Full})
+		return
+	}
 	c := p.pick(a)
 	room := p.live()+p.dialing < cl.lim.ConnsPerCache && cl.conns < cl.lim.CacheConns
 	switch {
@@ -106,7 +113,7 @@
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && !c.past.has(a.Request.Txn) && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -259,7 +266,7 @@
 	c.quit = c.quit || c.silent() // nothing is asked for on it again
 	c.idled = cl.clock()
 	c.done(a)
-	c.past.add(a.Request.Txn, cl.clock(), cl.lim.Longest)
+	c.p.past.add(a.Request.Txn, cl.clock(), cl.lim.Longest)
 	if err := c.nc.WriteNow(appendQuit(nil, a.Request.Txn)); err != nil {
 		c.lost()
 	} else if c.p.dead && len(c.open) == 0 {
@@ -307,6 +314,7 @@
 	c.retire()
 	for _, a := range c.open {
 		c.done(a)
+		c.p.past.add(a.Request.Txn, c.cl.clock(), c.cl.lim.Longest)
 		c.cl.core.End(a, core.End{Status: brain.Reset})
 	}
 }
