--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -6,14 +6,15 @@
 )
 
 // At the level debug the log has a line for each request, attempt and end, so that a bad minute can be counted over
-// the logs of a whole fleet. At any other level these cost one look at a flag.
+// the logs of a whole fleet. The request's line has its txn, the id under which page caches and the bench know it.
+// At any other level these cost one look at a flag.
 
 // tracing tells whether anybody reads the lines.
 func tracing() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
 
 func (c *Core) traceRequest(r *request) {
 	if c.trace {
-		slog.Debug("request", "id", r.id, "class", r.Class, "object", r.Item, "part", r.Part, "left", r.end-c.now, "again", r.Again)
+		slog.Debug("request", "id", r.id, "txn", r.Txn, "class", r.Class, "object", r.Item, "part", r.Part, "left", r.end-c.now, "again", r.Again)
 	}
 }
 
