--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -147,8 +147,7 @@
 	for _, k := range c.Settings.Classes {
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
-	// The platform kills no sooner than this after SIGTERM, less some time to write the last answers.
-	c.Limits.Finish = max(c.Limits.Longest, 3*time.Second) + 700*time.Millisecond - 200*time.Millisecond
+	c.Limits.Finish = finish(c.Limits.Longest)
 	if err := o.Err(); err != nil {
 		return nil, err
 	}
@@ -326,3 +325,10 @@
 	l.Open = l.MemoryMB << 20 / (64 << 10)
 	return l
 }
+
+// finish is how long a router that has been sent SIGTERM has to answer what is open: the platform kills no sooner
+// than the longest deadline, taken as 3 s where it is longer, and 0.7 s after SIGTERM; 0.2 s of that are left for
+// writing the last answers.
+func finish(longest time.Duration) time.Duration {
+	return min(longest, 3*time.Second) + 700*time.Millisecond - 200*time.Millisecond
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 )
 
 const base = `{"listen":"127.0.0.1:1","journal":"127.0.0.1:2","settings":{"dcs":["e"],"locality":"e",
@@ -49,6 +50,18 @@
 	}
 }
 
+// The platform kills no sooner than the longest deadline, taken as 3 s where it is longer, and 0.7 s after SIGTERM;
+// the router keeps 0.2 s of that to write its last answers. Bounded from below by 3 s, the router's time outlasted
+// the kill where deadlines are short (2.52 s on a scaled day), and by the longest deadline where they are long.
+func TestFinishBeforeTheKill(t *testing.T) {
+	for longest, want := range map[string]time.Duration{"2520000": 3020 * time.Millisecond, "6000000": 3500 * time.Millisecond} {
+		c, err := Parse([]byte(strings.Replace(base, "3000000", longest, 1)+"}"), nil, "")
+		if err != nil || c.Limits.Finish != want {
+			t.Errorf("longest deadline %s us: %+v, %v; want %v to finish", longest, c, err, want)
+		}
+	}
+}
+
 // Page caches have few places for connections: the more routers share them, the fewer each holds.
 func TestConnectionsByRoutersBeside(t *testing.T) {
 	for beside, want := range map[string]int{"1": 4, "4": 4, "7": 2, "14": 1, "500": 1} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -255,7 +255,7 @@
 func (c *Core) Submit(id brain.RequestID, q Request) {
 	left := min(q.Limit, c.lim.Longest) - c.lim.Margin
 	if c.stopping { // what is open as the router ends would be lost
-		left = min(left, c.left+c.lim.Finish-c.lim.Overhang-c.now)
+		left = min(left, c.last()-c.now)
 	}
 	switch {
 	case len(c.open) >= c.lim.Open || c.Leaving() >= Refuse:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -347,6 +347,22 @@
 	r.one("still open", Refused)
 }
 
+// A request open as SIGTERM comes ends, answered, before the platform may kill the process, though its client would
+// wait longer: on the second deployment an episode's part waits 6 s, and the kill comes 3.7 s after SIGTERM.
+func TestOpenAtStopEndsInTime(t *testing.T) {
+	r := newRig(t)
+	r.c.lim.Finish = 3 * second
+	r.submit("page", 5*second)
+	r.wait(second)
+	r.c.Stop()
+	r.wait(r.c.lim.Finish - r.c.lim.Overhang - 10*time.Millisecond)
+	if len(r.answers) != 0 {
+		t.Fatalf("answered before its time: %+v", r.answers)
+	}
+	r.wait(20 * time.Millisecond)
+	r.one("open at SIGTERM", Refused)
+}
+
 // A process that follows another is not ready before it is told so, though it knows the list.
 func TestHold(t *testing.T) {
 	r := newRig(t)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"container/heap"
 	"time"
 
 	"hillknot/brain"
@@ -115,12 +116,22 @@
 	c.brain.TakeOver(c.now, m)
 }
 
-// Stop marks the router as on its way out; it goes on answering.
+// Stop marks the router as on its way out; it goes on answering. What is open ends, answered, before the platform
+// may kill the process: a request whose client waits longer than that would be lost.
 func (c *Core) Stop() {
 	c.stopping = true
 	c.left = c.now
+	for _, r := range c.open {
+		if last := c.last(); r.end > last {
+			r.end = last
+			heap.Push(&c.timers, timer{at: r.end, request: r})
+		}
+	}
 }
 
+// last is when what is open must have ended, in a router that ends.
+func (c *Core) last() time.Duration { return c.left + c.lim.Finish - c.lim.Overhang }
+
 // Leave is how far the router has got in leaving its clients.
 type Leave uint8
 
