Cut trust in a fill's source on an error that names no cause

Ruled out: a bad edge box (no box stood out), load (errors as many at 10% as at 30% in-flight), the hand-over (the same errors in processes that were never replaced).

Change: an error that names no cause also weighs the source as slow (trust halved, back by 0.1 a good fill), as a slow fill already does; the box is still made ill as before. A parent that fails half its fills then loses its range to the second homes; one bad box among many moves a sound parent's trust by too little to cost it range (peerPart).

Test: TestFailingParentLosesRange (brain), fails on the code before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -684,8 +684,8 @@
 		if ev.Note == SourceLost && src != nil {
 			b.ill(src)
 			a.blame = src
-		} else {
-			b.ill(a.node)
+		} else if b.ill(a.node); src != nil { // an error that names no cause may be the source's
+			b.weigh(src, false)
 		}
 	case TimedOut:
 		if src != nil && !b.known(r) {
--- a/brain/troubles_test.go
+++ b/brain/troubles_test.go
@@ -319,6 +319,24 @@
 	}
 }
 
+// A parent behind which half the fills break, while the caches' answers name no cause, loses range to the second
+// homes: the second deployment's fast errors came so, from one upper cache through every edge box.
+func TestFailingParentLosesRange(t *testing.T) {
+	r := newRig(t, site(), fleet())
+	for o := uint64(0); o < 500 && r.b.trust(r.b.members[11]) > 0.1; o++ {
+		g := r.ask("page", o)
+		if r.now += 10 * ms; g.Source == 11 && o%2 == 0 {
+			r.end(g, 0, Error, NoNote)
+			r.end(r.ask("page", o), 1, OK, Filled) // the client's retry is served elsewhere
+		} else {
+			r.late(g, 100*ms, Filled)
+		}
+	}
+	if n := r.share(11); n > 90 || n == 0 {
+		t.Errorf("failing, and owns %d of 300 objects", n)
+	}
+}
+
 // What slows all caches alike, as overload does, moves nobody's range.
 func TestAllSlowMovesNothing(t *testing.T) {
 	r := newRig(t, site(), fleet())
