--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -26,8 +26,7 @@
 	names []string
 }
 
-// scores has the shape of the first deployment: scores, pages and arrangements that must not run twice, three
-// zones, six attempts.
+// scores has the first deployment's shape: an unsafe class beside two safe ones, three zones, six attempts.
 func scores() deployment {
 	s := site()
 	s.Zone, s.Zones, s.DirectorsIn, s.MaxAttempts = "coastal", []string{"upper", "coastal", "river"}, []int{0, 3, 0}, 6
@@ -41,8 +40,7 @@
 	return deployment{s, list, []string{"score", "score", "page", "page", "arrange"}}
 }
 
-// episodes has the shape of the second: parts of episodes that wait 6 s, show assets fresh for 8 s, and listen
-// events worth the most that must never run twice; stations of unequal size under three hubs, eight attempts.
+// episodes has the second's: parts that wait 6 s, assets fresh for 8 s, a listen event that must never run twice.
 func episodes() deployment {
 	s := site()
 	s.Zone, s.Zones, s.DirectorsIn, s.MaxAttempts = "west", []string{"north", "west", "south"}, []int{0, 4, 0}, 8
