--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,9 +50,8 @@
 	}
 }
 
-// The platform kills no sooner than the longest deadline, taken as 3 s where it is longer, and 0.7 s after SIGTERM;
-// the router keeps 0.2 s of that to write its last answers. Bounded from below by 3 s, the router's time outlasted
-// the kill where deadlines are short (2.52 s on a scaled day), and by the longest deadline where they are long.
+// The platform kills from min(longest deadline, 3 s) + 0.7 s after SIGTERM on; the router keeps 0.2 s of that to
+// write its last answers. Taken as max, its time outlasted the kill, on short (2.52 s) deadlines and on long ones.
 func TestFinishBeforeTheKill(t *testing.T) {
 	for longest, want := range map[string]time.Duration{"2520000": 3020 * time.Millisecond, "6000000": 3500 * time.Millisecond} {
 		c, err := Parse([]byte(strings.Replace(base, "3000000", longest, 1)+"}"), nil, "")
