--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -121,8 +121,9 @@
 func (c *Core) Stop() {
 	c.stopping = true
 	c.left = c.now
+	last := c.last()
 	for _, r := range c.open {
-		if last := c.last(); r.end > last {
+		if r.end > last {
 			r.end = last
 			heap.Push(&c.timers, timer{at: r.end, request: r})
 		}
