Take purges before all else after a stop, and hold what was decided to them

Not the module: maxAge follows every purge it has been told of.

The cause of the broken rule is what the router does after any stop of half a second.

Tests: TestPurgeAfterAStop (a real process, stopped), TestPurgeCountsForWhatIsNotWritten (core); both fail before.

--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -199,3 +199,20 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// A process that got no time for a while finds a purge and requests waiting together. Nothing it then sends may be
+// answered from a copy of before the purge, not even what it had decided on before.
+func TestPurgeAfterAStop(t *testing.T) {
+	t.Setenv(asRouter, "1")
+	bin, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := lab.PurgeAfterStop(bin, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Asks < p.Rounds || p.Old > 0 {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -294,6 +294,9 @@
 		Resolves: 1024, CheckConns: 8,
 		OpsConns: 16, OpsHead: 8 << 10, OpsBody: 8 << 10,
 
+		// A purge binds half a second after it was told, at the earliest.
+		Quiet: 300 * ms, Gather: 2 * ms, GatherMost: 20 * ms,
+
 		Linger: 700 * ms,
 
 		LeaveBehind: 400 * ms, LeaveIdle: 600 * ms, LeavePause: 100 * ms, LeaveRefuse: 2 * time.Second, LeaveCut: 3300 * ms,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"log/slog"
 	"sync"
@@ -108,9 +109,11 @@
 	clock  func() time.Duration
 	up     Upstream
 	lim    config.Limits
-	unsafe map[string]bool // classes that may not be told that trying again is harmless once they may have run
+	fresh  map[string]time.Duration // of the classes whose copies age by themselves
+	unsafe map[string]bool          // classes that may not be told that trying again is harmless once they may have run
 
 	mu    sync.Mutex
+	news  []func() // of the journal
 	inbox []func()
 	wake  chan struct{}
 	ids   atomic.Uint64
@@ -143,11 +146,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{},
+	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{}, fresh: map[string]time.Duration{},
 		open: map[brain.RequestID]*request{}, txns: map[string]bool{}, members: map[brain.NodeID]*Member{},
 		queries: map[brain.RequestID]*query{}, classes: map[string]int{}, maxWait: s.MaxWait}
 	for i, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
+		c.fresh[k.Name] = k.Fresh
 		c.classes[k.Name] = i
 		c.tallies = append(c.tallies, Tally{Class: k.Name})
 	}
@@ -168,12 +172,24 @@
 	c.mu.Lock()
 	c.inbox = append(c.inbox, f)
 	c.mu.Unlock()
+	c.rouse()
+}
+
+func (c *Core) rouse() {
 	select {
 	case c.wake <- struct{}{}:
 	default: // a wake-up is under way already
 	}
 }
 
+// Tell is Post for what the journal tells: in the turn that takes it, it comes before all else.
+func (c *Core) Tell(f func()) {
+	c.mu.Lock()
+	c.news = append(c.news, f)
+	c.mu.Unlock()
+	c.rouse()
+}
+
 // Run runs the core until stop is closed.
 func (c *Core) Run(stop <-chan struct{}) {
 	t := time.NewTimer(0)
@@ -185,18 +201,37 @@
 		case <-stop:
 			return
 		}
+		c.gather()
 		if next, any := c.Turn(); any {
 			t.Reset(max(next-c.clock(), 0))
 		}
 	}
 }
 
+// gather waits until nothing more comes in for a moment, where the turn before is so long ago that the process may have
+// been stopped, or got no time. What came in meanwhile waits in sockets, and is read in no set order: a request must
+// not overtake the purge that the journal had told before it.
+func (c *Core) gather() {
+	if c.clock()-c.now < c.lim.Quiet {
+		return
+	}
+	for have, end := -1, c.clock()+c.lim.GatherMost; c.clock() < end; time.Sleep(c.lim.Gather) {
+		c.mu.Lock()
+		n := len(c.news) + len(c.inbox)
+		c.mu.Unlock()
+		if n == have {
+			return
+		}
+		have = n
+	}
+}
+
 // Turn does all that is ready and returns when the next timer is due, if any.
 func (c *Core) Turn() (next time.Duration, any bool) {
 	c.now = c.clock()
 	c.mu.Lock()
-	in := c.inbox
-	c.inbox = nil
+	in := append(c.news, c.inbox...)
+	c.news, c.inbox = nil, nil
 	c.mu.Unlock()
 	for _, f := range in {
 		f()
@@ -516,7 +551,16 @@
 	delete(c.members, m.node)
 }
 
-// Purge takes a purge made at the given Unix time.
+// Purge takes a purge made at the given Unix time. It counts for what was decided before, too: an attempt may still wait
+// for a connection.
 func (c *Core) Purge(byGroup bool, object, group uint64, at time.Duration) {
+	for _, r := range c.open {
+		if a := r.attempt; a != nil && !r.Write && (byGroup && r.Group == group || !byGroup && r.Object == object) {
+			age := max(c.now-at-time.Microsecond, time.Microsecond)
+			if most := cmp.Or(a.Get.MaxAge, c.fresh[r.Class]); most == 0 || age < most {
+				a.Get.MaxAge = age
+			}
+		}
+	}
 	c.events = append(c.events, brain.Purge{ByGroup: byGroup, Object: object, Group: group, Ago: max(c.now-at, 0)})
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -373,3 +373,31 @@
 		t.Errorf("phase %v", p)
 	}
 }
+
+// A purge counts for what waits in the same turn, whatever came first, and for an attempt that was decided on before and
+// is not written yet; one that is already to be younger stays so.
+func TestPurgeCountsForWhatIsNotWritten(t *testing.T) {
+	r := newRig(t)
+	r.submit("page", 3*second)
+	r.submit("page", 3*second)
+	r.c.Purge(false, 8, 0, r.now)
+	if r.out[0].Get.MaxAge != 0 {
+		t.Errorf("the purge of another object: newer than %v", r.out[0].Get.MaxAge)
+	}
+	r.c.Post(func() {
+		r.c.Submit(r.c.NewID(), Request{Txn: "late", Class: "page", Object: 7, Limit: 3 * second, Reply: r.reply})
+	})
+	at := r.now
+	r.now += 100 * time.Millisecond
+	r.c.Tell(func() { r.c.Purge(false, 7, 0, at) })
+	r.c.Turn()
+	r.c.Purge(false, 7, 0, at-second)
+	if len(r.out) != 3 {
+		t.Fatalf("%d attempts", len(r.out))
+	}
+	for i, a := range r.out {
+		if a.Get.MaxAge <= 0 || a.Get.MaxAge > 100*time.Millisecond {
+			t.Errorf("attempt %d may be served a copy %v old, of an object purged 100 ms ago", i, a.Get.MaxAge)
+		}
+	}
+}
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -16,9 +16,9 @@
 	"hillknot/internal/netio"
 )
 
-// Core is what the events are handed to. Members and Purge are called on the core's goroutine.
+// Core is what the events are handed to. Members and Purge are called on the core's goroutine, by way of Tell.
 type Core interface {
-	Post(f func())
+	Tell(f func())
 	Members(full bool, hosts []core.Host)
 	Purge(byGroup bool, object, group uint64, at time.Duration)
 }
@@ -87,7 +87,7 @@
 	cl.last = e.Pos
 	close(cl.grown)
 	cl.grown = make(chan struct{})
-	cl.core.Post(func() { e.apply(cl.core) })
+	cl.core.Tell(func() { e.apply(cl.core) })
 }
 
 // Move goes on with the journal at another address, at once and from the latest event on.
--- a/internal/journal/client_test.go
+++ b/internal/journal/client_test.go
@@ -17,7 +17,7 @@
 
 type ledger struct{ hosts chan string }
 
-func (l *ledger) Post(f func()) { f() }
+func (l *ledger) Tell(f func()) { f() }
 func (l *ledger) Members(full bool, hs []core.Host) {
 	for _, h := range hs {
 		l.hosts <- fmt.Sprint(full, " ", h.ID)
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -45,6 +45,7 @@
 	then   time.Time
 	Runs   map[string]int // orders that ran, by object
 	Asked  int
+	Heard  func(standin.Ask) // called with each request, if it is set before any comes
 }
 
 // Set changes what it does.
@@ -55,6 +56,9 @@
 }
 
 func (b *Backend) answer(a standin.Ask) standin.Reply {
+	if b.Heard != nil {
+		b.Heard(a)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Asked++
