Decide what routers that talk share: lent budgets, counts, verdicts with a quorum

Need: routers that may talk should spend a cold cache's allowance and a retry budget once for the fleet, and agree that a cache is sick, and stay within a stated bound when part of them hears nothing.

internal/fleetstate is the pure part, no I/O, clock or chance: a budget is cut into shares with one holder each, of which up to half a part is lent for a time that the lender's clock outlasts; counts only grow; a verdict needs a quorum and ends by itself.

Routers take no part in it yet.

--- a/brain/api.go
+++ b/brain/api.go
@@ -74,6 +74,16 @@
 	PurgeDone     time.Duration // by then all copies older than a purge are gone
 	MaxWait       time.Duration // the longest that a refused client may be told to stay away; 0: it can't be told
 	Cache, Parent ColdRule
+	Together      Together // nil: the routers don't talk
+}
+
+// Together is what the routers of a fleet that talk to each other have agreed on. It answers at once, from what is known
+// here, and is asked within Handle, with its time. What it allows bounds the module, and lifts none of its own bounds.
+type Together interface {
+	Spare(now time.Duration, n NodeID) bool // a member that started lately may be sent one more attempt
+	Repeat(now time.Duration) bool          // one more attempt may follow one that may have run
+	Shun(now time.Duration, n NodeID) bool  // a member is ill, and another router tries it
+	Sent(now time.Duration, g Get)          // an attempt is sent
 }
 
 // Event is something that happened to this instance.
@@ -225,6 +235,7 @@
 		Join    bool // join a fill under way
 		Held    bool // the source gives only what it holds
 		Renew   bool // an ageing copy is served and fetched anew behind
+		Again   bool // an attempt of the request before may have run
 	}
 	// Refuse answers finally: not done, trying again is harmless.
 	Refuse struct {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -430,6 +430,7 @@
 func (b *Brain) send(r *request, a attempt) {
 	a.sent, a.out = b.now, true
 	g := Get{ID: r.ID, Attempt: len(r.attempts), Node: a.node.id, Source: a.source.id, Held: a.held}
+	g.Again = r.ran()
 	if !r.class.Write && !r.Write {
 		// An object seen again ranks above one seen once, so that a scan washes nothing out.
 		g.Keep, g.MaxAge, g.Join = min(r.object.seen, 2), b.maxAge(r), b.s.Joins
@@ -449,21 +450,17 @@
 			m.trial = b.now + trialEvery
 		}
 	}
+	b.s.Together.Sent(b.now, g)
 	b.do(g)
 }
 
 // failed tells whether a member already failed this request, as server or as source.
 func (b *Brain) failed(r *request, m *member) bool {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.blame == m {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.blame == m })
 }
 
 // mayResend keeps the rule on effects: a further attempt is sent only where no earlier one can have
-// run, or where the class drops the repeat.
+// run, or where the class drops the repeat. Routers that talk also bound such repeats, all together.
 func (b *Brain) mayResend(r *request) bool {
 	for i := range r.attempts {
 		a := &r.attempts[i]
@@ -477,7 +474,7 @@
 			return false
 		}
 	}
-	return true
+	return !r.ran() || b.s.Together.Repeat(b.now)
 }
 
 // allowed tells whether the group of the class lets an attempt follow the earlier ones.
@@ -629,9 +626,10 @@
 // ready tells whether rules let us name a member at all.
 func (b *Brain) ready(m *member) bool { return m.state == InService }
 
-// usable tells whether a member may get ordinary work: it is not bad, or a trial is due.
+// usable tells whether a member may get ordinary work: it is not bad, or a trial is due, and routers that
+// talk have not agreed to leave its trials to another.
 func (b *Brain) usable(m *member) bool {
-	return b.ready(m) && (!m.bad || b.now >= m.trial)
+	return b.ready(m) && (!m.bad || b.now >= m.trial) && !b.s.Together.Shun(b.now, m.id)
 }
 
 // judge learns from an outcome who is well and who is not.
@@ -843,7 +841,7 @@
 	}
 	m.saved = min(m.saved+rate*(b.now-m.savedAt).Seconds(), most)
 	m.savedAt = b.now
-	return m.saved >= r.class.work
+	return m.saved >= r.class.work && b.s.Together.Spare(b.now, m.id)
 }
 
 // coldRate is the work that a cold member may be sent each second, less what resolvers hold of it.
--- a/brain/state.go
+++ b/brain/state.go
@@ -144,6 +144,19 @@
 	neverRan     bool
 }
 
+// ran tells whether an attempt that has ended may have run.
+func (r *request) ran() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.out && !a.neverRan })
+}
+
+// alone is a router that talks to no other.
+type alone struct{}
+
+func (alone) Spare(time.Duration, NodeID) bool { return true }
+func (alone) Repeat(time.Duration) bool        { return true }
+func (alone) Shun(time.Duration, NodeID) bool  { return false }
+func (alone) Sent(time.Duration, Get)          {}
+
 // New returns a director's brain. Settings that make no sense are an error.
 func New(s Settings) (*Brain, error) {
 	if len(s.Classes) == 0 {
@@ -161,6 +174,9 @@
 			return nil, errors.New("negative time")
 		}
 	}
+	if s.Together == nil {
+		s.Together = alone{}
+	}
 	b := &Brain{s: s, classes: map[string]*class{}, members: map[NodeID]*member{},
 		open: map[RequestID]*request{}, purges: map[purgeKey]time.Duration{}}
 	b.linkRoom, b.linkMost, b.linkPart = b.linkLimit()
--- /dev/null
+++ b/internal/fleetstate/state.go
@@ -0,0 +1,158 @@
+// Package fleetstate decides what routers that may talk share: budgets that are spent once for the whole fleet, counts
+// of what happened, and verdicts on page caches that are sick. It does no I/O, reads no clock and draws no chance:
+// what happens is told by calls that carry the time, and what is to be said is read with Outbox.
+//
+// Whatever the network does, each shared figure stays within a bound that needs no message to hold:
+//
+//   - A budget is cut into shares. Each router has its part of them for good; of that part it may lend up to half, for
+//     a time that its own clock outlasts. A share has one holder at most, so all routers together never spend more
+//     than the budget, and one that hears nothing falls back to its own part.
+//   - A count only grows, and each router writes its own part of it: what is heard late or twice changes nothing.
+//   - A verdict needs several routers' evidence and ends by itself, soon after the last evidence for it was heard.
+package fleetstate
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Settings set up one router's part of what is shared.
+type Settings struct {
+	Self    string        // the router's name
+	Process uint64        // of the router; a later process of the name has a higher one
+	Size    int           // routers that have a part of each budget of their own, as the operator configured
+	Guest   bool          // this one has none, and lives on what it borrows
+	Lease   time.Duration // how long a share is lent
+	Beat    time.Duration // between two looks at what is wanted and known
+	Drift   float64       // how much quicker or slower than true a clock may run, as a share
+	Verdict time.Duration // how long a verdict outlives the last evidence
+	Quorum  int           // routers whose evidence makes one; 0: more than half of those alive, two at least
+}
+
+// Defaults returns settings for a fleet of so many routers.
+func Defaults(self string, process uint64, size int) Settings {
+	return Settings{Self: self, Process: process, Size: size, Lease: 2 * time.Second, Beat: 200 * time.Millisecond, Drift: 0.02,
+		Verdict: 3 * time.Second}
+}
+
+// Check names the first setting that can't be used.
+func (s Settings) Check() error {
+	switch {
+	case !validName(s.Self):
+		return fmt.Errorf("Self is %q, not a name of up to %d bytes", s.Self, nameMost)
+	case s.Size < 1 || s.Size > 1000:
+		return fmt.Errorf("Size is %d, not 1 to 1000", s.Size)
+	case s.Beat < 10*time.Millisecond || s.Lease < 4*s.Beat || s.Lease > time.Minute:
+		return fmt.Errorf("Beat %v, Lease %v: four beats at least must fit in a lease, and that in a minute", s.Beat, s.Lease)
+	case s.Verdict < 2*s.Beat || s.Verdict > time.Minute:
+		return fmt.Errorf("Verdict is %v, not two beats to a minute", s.Verdict)
+	case !(s.Drift >= 0 && s.Drift <= 0.2):
+		return fmt.Errorf("Drift is %v, not 0 to 0.2", s.Drift)
+	case s.Quorum != 0 && (s.Quorum < 2 || s.Quorum > s.Size):
+		return fmt.Errorf("Quorum is %d, neither 0 nor 2 to the size", s.Quorum)
+	}
+	return nil
+}
+
+// outlasts is a time on the own clock after which the same time has surely passed on any other that is allowed.
+func (s Settings) outlasts(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) * (1 + s.Drift) / (1 - s.Drift)))
+}
+
+// The bounds of what is held, whatever others say.
+const (
+	nameMost    = 128
+	budgetsMost = 512 // budgets open at once
+	countsMost  = 1024
+	judgedMost  = 512 // page caches with evidence
+	namesMost   = 64  // more names than the size that one count, or one verdict, holds
+)
+
+func validName(s string) bool { return s != "" && len(s) <= nameMost }
+
+// Letter is a message to be sent: to one router, or to all where To is empty. For all, a later one with the same Key
+// takes the place of an earlier one.
+type Letter struct {
+	To, Key string
+	Msg     Message
+}
+
+// State is one router's part. It is not safe for concurrent use.
+type State struct {
+	set     Settings
+	born    time.Duration // first beat; 0: none yet
+	retired bool          // a successor spends in our place
+	live    []string      // others, in order
+	crowd   int           // the most routers with a part of their own that were seen at once
+	next    int           // of live, who is asked next
+	round   uint64
+	budgets map[string]*budget
+	counts  map[string]*count
+	judged  map[string]*judgement
+	out     []Letter
+}
+
+// New returns the part of a router that has just started. Until it has beaten once it spends nothing.
+func New(set Settings) (*State, error) {
+	if err := set.Check(); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	return &State{set: set, crowd: set.Size, budgets: map[string]*budget{}, counts: map[string]*count{}, judged: map[string]*judgement{}}, nil
+}
+
+// Outbox returns what is to be sent, and forgets it.
+func (s *State) Outbox() []Letter {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *State) say(to, key string, m Message) {
+	m.From, m.Process = s.set.Self, s.set.Process
+	s.out = append(s.out, Letter{To: to, Key: key, Msg: m})
+}
+
+// Beat looks at what is wanted and what has run out. It is due every Settings.Beat; one that comes late, as after a
+// stop of the process, does no harm.
+func (s *State) Beat(now time.Duration) {
+	if s.born == 0 {
+		s.born = max(now, 1)
+	}
+	s.beatBudgets(now)
+	s.beatCounts()
+	s.beatVerdicts(now)
+}
+
+// Live tells who else is alive: their names in order, without the own one, and how many routers with a part of their
+// own are seen, this one counted. Where there are more of them than the operator configured, each part shrinks, for
+// good: parts that add up to more than the whole would break every bound.
+func (s *State) Live(others []string, owners int) {
+	s.live = others
+	s.crowd = max(s.crowd, owners)
+}
+
+// Retire tells whether a successor of this process spends in its place. What has been lent stays lent.
+func (s *State) Retire(yes bool) { s.retired = yes }
+
+// Take takes a message that was sent by Settings.Self of another router, or by an earlier process of this one.
+func (s *State) Take(now time.Duration, m Message) {
+	if !validName(m.From) || !validName(m.Key) && m.Kind != kindNone {
+		return
+	}
+	switch m.Kind {
+	case KindAsk:
+		s.asked(now, m)
+	case KindGrant:
+		s.granted(now, m)
+	case KindCount:
+		s.heardCount(m)
+	case KindEvidence:
+		s.heardEvidence(now, m)
+	}
+}
+
+// Whole is all that a router which has heard nothing should know: counts and evidence, never leases.
+func (s *State) Whole(now time.Duration) []Message {
+	return append(s.wholeCounts(), s.wholeEvidence(now)...)
+}
--- /dev/null
+++ b/internal/fleetstate/verdict.go
@@ -0,0 +1,166 @@
+package fleetstate
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// illAfter is how many failures in a row a router must have seen itself before it says so.
+const illAfter = 3
+
+// judgement is what is known of one page cache.
+type judgement struct {
+	fails   int           // in a row, as this router last saw
+	well    time.Duration // when this router last saw a sign of life
+	until   time.Duration // the verdict holds before; 0: there is none
+	tried   time.Duration // latest evidence of all
+	votes   map[string]vote
+	verdict uint64 // how many there were
+}
+
+// vote is the latest evidence of one router.
+type vote struct {
+	process, number uint64
+	until           time.Duration // it counts before
+}
+
+// Observe tells what this router itself has seen of a page cache: how many failures in a row, and when the latest sign
+// of life came. Only what is new is evidence.
+func (s *State) Observe(now time.Duration, node string, fails int, well time.Duration) {
+	j := s.judged[node]
+	if j == nil {
+		if fails < illAfter || len(s.judged) >= judgedMost || !validName(node) {
+			return
+		}
+		j = &judgement{votes: map[string]vote{}}
+		s.judged[node] = j
+	}
+	ill := fails >= illAfter && fails > j.fails
+	alive := well > j.well && fails == 0
+	j.fails, j.well = fails, max(j.well, well)
+	switch {
+	case ill:
+		s.evidence(now, node, j, true)
+	case alive && (now < j.until || now < j.votes[s.set.Self].until):
+		s.evidence(now, node, j, false)
+	}
+}
+
+func (s *State) evidence(now time.Duration, node string, j *judgement, ill bool) {
+	s.round++
+	s.say("", "evidence "+node, Message{Kind: KindEvidence, Key: node, Round: s.round, Ill: ill, Left: s.set.Verdict})
+	s.weigh(now, j, s.set.Self, vote{s.set.Process, s.round, now + s.set.Verdict}, ill)
+}
+
+// weigh takes evidence. Enough of it makes a verdict. While that holds, any new evidence prolongs it: those who keep away
+// can bring none, and only who tries can. One good answer ends it for all, and all that was said before.
+func (s *State) weigh(now time.Duration, j *judgement, who string, v vote, ill bool) {
+	j.tried = now
+	if !ill {
+		j.until = 0
+		for name, o := range j.votes {
+			o.until = 0
+			j.votes[name] = o
+		}
+		v.until = 0
+	}
+	j.votes[who] = v
+	n := 0
+	for _, o := range j.votes {
+		if now < o.until {
+			n++
+		}
+	}
+	switch {
+	case !ill:
+	case now < j.until:
+		j.until = max(j.until, v.until)
+	case n >= s.quorum():
+		j.until, j.verdict = v.until, j.verdict+1
+	}
+}
+
+// quorum is how many routers must have evidence: one alone may be the one that is cut off.
+func (s *State) quorum() int {
+	if s.set.Quorum > 0 {
+		return s.set.Quorum
+	}
+	return max(2, (len(s.live)+1)/2+1)
+}
+
+func (s *State) heardEvidence(now time.Duration, m Message) {
+	j := s.judged[m.Key]
+	if j == nil {
+		if len(s.judged) >= judgedMost {
+			return
+		}
+		j = &judgement{votes: map[string]vote{}}
+		s.judged[m.Key] = j
+	}
+	old, known := j.votes[m.From]
+	switch {
+	case m.From == s.set.Self && m.Process >= s.set.Process: // our own, by way of others
+		return
+	case known && (m.Process < old.process || m.Process == old.process && m.Round <= old.number):
+		return
+	case !known && len(j.votes) >= s.set.Size+namesMost:
+		return
+	}
+	s.weigh(now, j, m.From, vote{m.Process, m.Round, now + min(m.Left, s.set.Verdict)}, m.Ill)
+}
+
+// Sick tells whether the routers agree that a page cache is sick.
+func (s *State) Sick(now time.Duration, node string) bool {
+	j := s.judged[node]
+	return j != nil && now < j.until
+}
+
+// Shun tells whether this router should keep away from a page cache: all agree that it is sick, and another one tries it
+// for all. Who that is follows from the names of those alive, the same for all who see the same.
+func (s *State) Shun(now time.Duration, node string) bool {
+	if !s.Sick(now, node) {
+		return false
+	}
+	best := score(s.set.Self, node)
+	return slices.ContainsFunc(s.live, func(o string) bool { return score(o, node) > best })
+}
+
+func score(name, node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node + "\x00" + name)) // it never fails
+	x := h.Sum64()
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9 // the last bytes of the name are to count as much as the first
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Verdicts are the page caches that are held to be sick now, in order, and how many verdicts there were in all.
+func (s *State) Verdicts(now time.Duration) (sick []string, made uint64) {
+	for _, node := range slices.Sorted(maps.Keys(s.judged)) {
+		if made += s.judged[node].verdict; s.Sick(now, node) {
+			sick = append(sick, node)
+		}
+	}
+	return sick, made
+}
+
+// beatVerdicts forgets what no longer says anything. What was said before can't come back by then: evidence counts for
+// Verdict at most, by whatever way it comes.
+func (s *State) beatVerdicts(now time.Duration) {
+	maps.DeleteFunc(s.judged, func(_ string, j *judgement) bool {
+		return now >= j.until && now > j.tried+4*s.set.Verdict && j.fails < illAfter
+	})
+}
+
+func (s *State) wholeEvidence(now time.Duration) (all []Message) {
+	for node, j := range s.judged {
+		for who, v := range j.votes {
+			if now < v.until {
+				all = append(all, Message{Kind: KindEvidence, From: who, Process: v.process, Key: node, Round: v.number, Ill: true, Left: v.until - now})
+			}
+		}
+	}
+	return all
+}
