Bound a new router's guess of its cold budget by what the caches' links carry

Followed that server through both routers that sent to it (a print at each look and each send, in a copy): both were born 0.2 s before its start, with all five caches of their location cold, and took `usual 17.1` seconds of sending a second each for granted: half of `other 34.2`, what their clients asked for in an overload. They sent 4.4 a second each, 8.8 together, where a warm cache does 3.9 and this one 1.45. At fault: withinBudget, coldGuess x load[other].peak, which nothing bounds.

Now the guess is also held to what links carry: the bound of attempts at the cache over the share by which that is wider (cacheShare), both from the settings. TestNewRouterUnderOverload fails without: 8.4 s of work sent in 2 s, of 5.6.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -828,8 +828,9 @@
 		return true
 	}
 	c, usual := b.rules[m.role], b.load[m.role].peak
-	if b.now-b.born < usualOver { // nothing seen yet: part of what is asked for
-		usual = max(usual, coldGuess*b.load[other].peak)
+	if b.now-b.born < usualOver { // nothing seen yet: part of what is asked for, and of what links carry
+		most := cmp.Or(m.limit/cacheShare*b.fleet[m.role]/b.size(m), math.Inf(1))
+		usual = max(usual, coldGuess*min(b.load[other].peak, most))
 	}
 	if r.lease > 0 {
 		return r.lease <= b.coldRate(m, usual)
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -125,3 +125,32 @@
 		}
 	}
 }
+
+// A router that starts beside a location that comes back, all cold, under an overload, knows nothing but what it is asked
+// for: many times what the caches ever carried. What it sends a cold one stays within what the caches' links carry.
+func TestNewRouterUnderOverload(t *testing.T) {
+	s := site()
+	s.LinkKBps = []float64{0, 6000} // the location's link fits 6 transfers
+	list := fleet()
+	for i := range list {
+		list[i].Start = 100 * sec // where the rig begins
+	}
+	r := newRig(t, s, list)
+	sent := map[NodeID]float64{}
+	for r.now < 104*sec {
+		r.now += 10 * ms
+		for range 5 { // 500 a second, 0.1 s each
+			if g := r.ask("page", uint64(r.id)); g.Node != 0 {
+				if r.now >= 102*sec {
+					sent[g.Node] += 0.1
+				}
+				r.end(g, 0, OK, Filled)
+			}
+		}
+	}
+	m := r.b.members[1]
+	share := s.Cache.Share + (1-s.Cache.Share)*4/15
+	if most := s.Cache.Multiple * share * m.limit / cacheShare * 2; sent[1] == 0 || sent[1] > most {
+		t.Errorf("a cold cache was sent %.1f s of work in 2 s, of %.1f that its link may bear", sent[1], most)
+	}
+}
