Let routers share budgets, counts and verdicts over encrypted gossip, where a file sets it up

Need: the pure part (internal/fleetstate) had no router behind it. The block `fleet` of the operator's file now switches it on: internal/members carries it over memberlist (SWIM, AES keys from a file that only its owner may read, rotated on SIGHUP), internal/core asks it through brain.Together on its own goroutine and never waits on the network: what is known is looked up, what is to be said goes on a bounded queue. A new page cache opens a budget by its start; a process that is followed spends nothing; the figures stand at /status/metrics.

--- a/Makefile
+++ b/Makefile
@@ -1,19 +1,19 @@
 # Build, test, lint and run hillknot.
 
-.PHONY: build test lint run measure-clients bench
+.PHONY: build test lint run measure-clients measure-together bench
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && go build -o bin/ ./cmd/... && go build -tags talk -o bin/hillknot-talk ./cmd/hillknot
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not gofmt-ed: $$unformatted" >&2; exit 1; fi
-	go vet ./...
+	go vet ./... && go vet -tags talk ./...
 
 # The operators' build line is tested as it stands in the deploy file.
 test: lint
 	sh -c "$$(sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)"
 	@readelf -d bin/hillknot | grep -q 'NEEDED.*libc\.so' || { echo "bin/hillknot is not linked dynamically" >&2; exit 1; }
-	go test -count=1 ./...
+	go test -count=1 -tags talk ./...
 
 run: build
 	@go build -o bin/toy ./example/toy
@@ -23,6 +23,10 @@
 measure-clients: build
 	bin/hillknot-lab clients
 
+# The tables of docs/fleet-talk.md, in some three minutes. Nothing else should run beside it.
+measure-together: build
+	bin/hillknot-lab together
+
 # The operators' bench, quick, on both deployments in turn: the standing fleet test on the first, then the second's
 # days on real sockets. It needs their kit, which this repository does not hold: make bench KIT=DIR WHY="...".
 bench:
--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -56,6 +56,12 @@
 		return fmt.Errorf("configure netpoll: %w", err)
 	}
 	clock := unixClock()
+	var shared *core.Shared
+	if cfg.Fleet.On {
+		if shared, err = share(cfg); err != nil {
+			return err
+		}
+	}
 	c, err := core.New(cfg.Settings, cfg.Limits, clock)
 	if err != nil {
 		return err
@@ -116,6 +122,12 @@
 		r.follow(before)
 		go r.wait(before, stop)
 	}
+	var peers keyed
+	if shared != nil {
+		if peers, err = talk(cfg, c, shared, stop); err != nil {
+			return err
+		}
+	}
 	go func() { failed <- front.Serve() }()
 	if cfg.Handover != "" {
 		g, err := handover.Give(cfg.Handover, r, cfg.Limits)
@@ -136,7 +148,7 @@
 			return fmt.Errorf("serve: %w", err)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				reload(path, operator, feed)
+				reload(path, operator, feed, peers)
 				continue
 			}
 			slog.Info("ending")
@@ -146,9 +158,14 @@
 	}
 }
 
-// reload takes the journal's address from the configuration as it is now; all else holds from the start on.
-// A faulty file changes nothing: the router goes on with what it has.
-func reload(path, operator string, feed *journal.Client) {
+// reload takes the journal's address from the configuration as it is now, and the keys of the fleet from their file; all
+// else holds from the start on. A faulty file changes nothing: the router goes on with what it has.
+func reload(path, operator string, feed *journal.Client, peers keyed) {
+	if peers != nil {
+		if err := peers.ReadKeys(); err != nil {
+			slog.Error("fleet keys not taken", "err", err)
+		}
+	}
 	cfg, err := config.Load(path, operator)
 	if err != nil {
 		slog.Error("configuration not taken", "err", err)
--- /dev/null
+++ b/cmd/hillknot/share.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"time"
+
+	"hillknot/internal/config"
+	"hillknot/internal/core"
+)
+
+// keyed is who talks to other routers, under keys that may change.
+type keyed interface{ ReadKeys() error }
+
+// share prepares what the router shares with others, and has the module ask for it.
+func share(cfg *config.Config) (*core.Shared, error) {
+	cfg.Fleet.State.Process = uint64(time.Now().UnixNano()) // higher than that of any process before
+	s, err := core.NewShared(core.Talk{State: cfg.Fleet.State, Cold: cfg.Fleet.Cold, Retries: cfg.Fleet.Retries})
+	if err == nil {
+		cfg.Settings.Together = s
+	}
+	return s, err
+}
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -20,3 +20,20 @@
   answers       = 2
   deadline_ms   = 1000
 }
+
+# What routers that may talk to each other share (docs/fleet-talk.md). Only bin/hillknot-talk takes it.
+#
+# fleet {
+#   listen    = "127.0.0.1:7946"            # over UDP and TCP
+#   peers     = ["127.0.0.2:7946"]
+#   key_file  = "/etc/hillknot/fleet.keys"  # chmod 600
+#   size      = 7                           # routers in all
+#   cold {                                  # attempts that one new page cache bears from all of them
+#     rate  = 40                            # a second
+#     burst = 28
+#   }
+#   retries {                               # repeats by all of them of what may have run
+#     rate  = 20
+#     burst = 28
+#   }
+# }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,7 @@
 	DNS       DNS
 	Agent     string // where HAProxy's agent checks are answered; empty: nowhere
 	Ops       string // where operators call; empty: nowhere
+	Fleet     Fleet
 }
 
 // DNS sets up the DNS front.
@@ -137,6 +138,7 @@
 		Limits: limits(o),
 		DNS:    readDNS(o), Agent: address(o.Object("agent_check"), "listen"), Ops: address(o, "ops"),
 	}
+	c.Fleet = readFleet(o, c.Name)
 	if o.Has("health") {
 		o.Fail("health", "is no key any more: GET /status at the address under ops answers health checks")
 	}
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"hillknot/internal/fields"
+	"hillknot/internal/fleetkeys"
+	"hillknot/internal/fleetstate"
+)
+
+// Fleet sets up what the router shares with others that it may talk to.
+type Fleet struct {
+	On        bool
+	Listen    netip.AddrPort // over UDP and TCP
+	Advertise netip.AddrPort // where others reach it
+	Peers     []string       // addresses of some others, to join by
+	KeyFile   string
+	State     fleetstate.Settings // Process is set at the start
+	Cold      fleetstate.Terms    // a rate of 0: not shared
+	Retries   fleetstate.Terms    // the same
+}
+
+// readFleet reads the block fleet, without which the router talks to no other.
+func readFleet(o fields.Object, name string) Fleet {
+	if !o.Has("fleet") {
+		return Fleet{}
+	}
+	b := o.Object("fleet")
+	b.Must("listen", "key_file", "size")
+	f := Fleet{On: true, State: fleetstate.Defaults(name, 0, b.Count("size", 1, 1))}
+	f.State.Guest = b.Flag("guest")
+	f.State.Lease = b.Span("lease_ms", time.Millisecond, f.State.Lease)
+	f.State.Verdict = b.Span("verdict_ms", time.Millisecond, f.State.Verdict)
+	f.State.Quorum = b.Count("quorum", 0, 0)
+	f.Cold, f.Retries = readTerms(b, "cold", f.State.Size), readTerms(b, "retries", f.State.Size)
+	f.KeyFile, f.Peers = b.Text("key_file", ""), b.Texts("peers")
+	f.Listen, _ = netip.ParseAddrPort(address(b, "listen")) // told by address
+	f.Advertise = f.Listen
+	if b.Has("advertise") {
+		f.Advertise, _ = netip.ParseAddrPort(address(b, "advertise"))
+	}
+	if a := f.Advertise; a.IsValid() && a.Addr().IsUnspecified() {
+		b.Fail("advertise", "must name an address that others can call: listen takes any")
+	}
+	for _, p := range f.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			b.Fail("peers", fmt.Sprintf("holds %q, which is no address with a port", p))
+		}
+	}
+	if err := f.State.Check(); err != nil {
+		key := "size"
+		switch {
+		case b.Has("lease_ms") && f.State.Lease != fleetstate.Defaults(name, 0, 1).Lease:
+			key = "lease_ms"
+		case b.Has("verdict_ms") && f.State.Verdict != fleetstate.Defaults(name, 0, 1).Verdict:
+			key = "verdict_ms"
+		case f.State.Quorum != 0:
+			key = "quorum"
+		}
+		b.Fail(key, "can't be used: "+err.Error())
+	}
+	if path := f.KeyFile; path != "" {
+		if _, err := fleetkeys.Read(path); err != nil {
+			b.Fail("key_file", "can't be used: "+err.Error())
+		}
+	}
+	return f
+}
+
+// readTerms reads what all routers together may spend. The burst buys each router one at least with half of its part.
+func readTerms(b fields.Object, name string, size int) fleetstate.Terms {
+	if !b.Has(name) {
+		return fleetstate.Terms{}
+	}
+	o := b.Object(name)
+	o.Must("rate")
+	t := fleetstate.Terms{Rate: o.Number("rate", 0)}
+	if t.Burst = o.Number("burst", max(t.Rate/4, 2*float64(size))); t.Burst < 2*float64(size) || t.Burst > 1e6 {
+		o.Fail("burst", fmt.Sprintf("is not from 2 for each of %d routers to a million", size))
+	}
+	if !(t.Rate > 0 && t.Rate <= 1e6) {
+		o.Fail("rate", "is not above 0, up to a million")
+	}
+	return t
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,6 +90,7 @@
 	ID    string
 	Addr  string
 	State brain.State
+	kind  string
 	node  brain.NodeID
 	start time.Duration
 }
@@ -138,6 +139,8 @@
 	dispatches uint64
 	snap       atomic.Pointer[Snapshot]
 	trace      bool
+	shared     *Shared                  // nil: nothing is shared with other routers
+	warm       map[string]time.Duration // by kind: a member that started so long ago is warm
 }
 
 // New returns a core round a module with these settings. The clock counts from the Unix epoch.
@@ -156,6 +159,16 @@
 		c.tallies = append(c.tallies, Tally{Class: k.Name})
 	}
 	c.tallies = append(c.tallies, Tally{Class: Unknown})
+	c.warm = map[string]time.Duration{}
+	for i, kind := range s.Kinds {
+		switch i {
+		case s.ParentKind:
+			c.warm[kind] = s.Parent.Warm
+		case s.OriginKind:
+		default:
+			c.warm[kind] = s.Cache.Warm
+		}
+	}
 	c.now, c.trace = clock(), tracing()
 	c.publish()
 	return c, nil
@@ -412,6 +425,9 @@
 	r.attempt = nil
 	r.ran = r.ran || !e.Status.NeverRan()
 	c.traceEnd(a, e)
+	if c.shared != nil {
+		c.shared.count(a, e)
+	}
 	if e.Status == brain.OK && c.open[r.id] == r {
 		c.forget(r)
 		c.traceAnswer(r, Served)
@@ -431,8 +447,10 @@
 
 // ---- Timers ----
 
-// timer is due for one of: a token of the module, an attempt's time-out, the end of a request or a query.
+// timer is due for one of: a token of the module, an attempt's time-out, the end of a request or a query, a beat of
+// what is shared.
 type timer struct {
+	beat    bool
 	at      time.Duration
 	token   uint64
 	query   *query
@@ -456,6 +474,8 @@
 
 func (c *Core) due(t timer) {
 	switch r := t.request; {
+	case t.beat:
+		c.beat()
 	case t.query != nil:
 		c.resolved(t.query.id, Resolved{})
 	case t.attempt != nil:
@@ -525,8 +545,11 @@
 		if m.Addr != "" && (m.Addr != h.Addr || h.Start > m.start) {
 			c.up.Forget(m) // another process is there now
 		}
-		m.Addr, m.State, m.start = h.Addr, h.State, h.Start
+		m.Addr, m.State, m.start, m.kind = h.Addr, h.State, h.Start, h.Kind
 		c.members[n] = m
+		if c.shared != nil {
+			c.shared.listed(m)
+		}
 		if h.State == brain.Gone {
 			c.gone(m)
 		}
@@ -547,6 +570,9 @@
 
 func (c *Core) gone(m *Member) {
 	m.State = brain.Gone
+	if c.shared != nil {
+		c.shared.listed(m)
+	}
 	c.up.Forget(m)
 	delete(c.members, m.node)
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -36,6 +36,7 @@
 	Open       int           // requests taken and not ended
 	Targets    int           // page caches listed
 	Avoided    int           // of these, those that the module avoids
+	Fleet      *FleetFigures // what is shared with other routers, as of the latest beat; nil: nothing
 }
 
 // Unknown is the class under which requests count that name none of the settings.
@@ -49,6 +50,9 @@
 	s := &Snapshot{Phase: c.phase(), Since: c.left, Followed: c.followed, Tallies: append([]Tally(nil), c.tallies...), Dispatches: c.dispatches,
 		Open: len(c.open)}
 	s.Targets, s.Avoided = c.brain.Targets()
+	if c.shared != nil {
+		s.Fleet = c.shared.last
+	}
 	c.snap.Store(s)
 }
 
@@ -104,8 +108,14 @@
 // Hold keeps the router starting, and says so, until it is called with false.
 func (c *Core) Hold(on bool) { c.held = on }
 
-// Followed tells the core whether a successor has taken over: who has one leaves its clients as it ends.
-func (c *Core) Followed(yes bool) { c.followed = yes }
+// Followed tells the core whether a successor has taken over: who has one leaves its clients as it ends, and spends
+// nothing of what the routers share.
+func (c *Core) Followed(yes bool) {
+	c.followed = yes
+	if c.shared != nil {
+		c.shared.state.Retire(yes)
+	}
+}
 
 // HandOver returns what a successor goes on from, and TakeOver goes on from it.
 func (c *Core) HandOver() brain.Memory { return c.brain.HandOver() }
--- a/internal/fleetstate/sim_test.go
+++ b/internal/fleetstate/sim_test.go
@@ -365,7 +365,21 @@
 	}
 }
 
-// verdicts has some routers see a page cache fail, and returns how many hold it to be sick and how many keep away.
+// Nobody else writes a router's own part of a count, and a process of its name that is older adds to it.
+func TestOwnPartOfACount(t *testing.T) {
+	s, err := New(Defaults("a", 5, 3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Count("hits", 2)
+	s.Take(0, Message{Kind: KindCount, From: "a", Process: 5, Key: "hits", Value: 100})
+	s.Take(0, Message{Kind: KindCount, From: "a", Process: 4, Key: "hits", Value: 30})
+	if n := s.Total("hits"); n != 32 {
+		t.Errorf("counted 32, told %d", n)
+	}
+}
+
+// verdicts returns how many routers hold the page cache to be sick and how many keep away from it.
 func (f *fleet) verdicts() (sick, shun int) {
 	for _, r := range f.routers {
 		now := r.clock(f.now)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -148,6 +148,37 @@
 	} {
 		b = fmt.Appendf(appendKind(b, f.name, f.help, f.kind), "app_%s %d\n", f.name, f.value)
 	}
+	if s.Fleet != nil {
+		b = appendFleet(b, s.Fleet)
+	}
+	return b
+}
+
+// appendFleet appends what the router shares with others, where it does.
+func appendFleet(b []byte, f *core.FleetFigures) []byte {
+	b = fmt.Appendf(appendKind(b, "fleet_others", "Routers alive beside this one.", "gauge"), "app_fleet_others %d\n", f.Others)
+	b = fmt.Appendf(appendKind(b, "fleet_verdicts", "Verdicts on page caches so far.", "counter"), "app_fleet_verdicts %d\n", f.Made)
+	b = appendKind(b, "fleet_sick", "Page caches that the routers agree to be sick.", "gauge")
+	for _, node := range f.Sick {
+		b = fmt.Appendf(b, "app_fleet_sick{cache=%s} 1\n", strconv.Quote(node))
+	}
+	b = appendKind(b, "fleet_spent", "Spent of shared budgets by this router.", "counter")
+	for _, h := range f.Spends {
+		b = fmt.Appendf(b, "app_fleet_spent{budget=%s} %d\n", strconv.Quote(h.Key), h.Spent)
+	}
+	b = appendKind(b, "fleet_shares", "Shares of budgets: of its own, lent, borrowed, and what a budget is cut into.", "gauge")
+	for _, h := range f.Spends {
+		for _, v := range []struct {
+			what   string
+			shares int
+		}{{"own", h.Own}, {"lent", h.Lent}, {"borrowed", h.Got}, {"whole", h.Whole}} {
+			b = fmt.Appendf(b, "app_fleet_shares{budget=%s,which=%q} %d\n", strconv.Quote(h.Key), v.what, v.shares)
+		}
+	}
+	b = appendKind(b, "fleet_count", "Ends of attempts at page caches, over all routers as far as heard.", "counter")
+	for _, c := range f.Counts {
+		b = fmt.Appendf(b, "app_fleet_count{of=%s} %d\n", strconv.Quote(c.Key), c.Total)
+	}
 	return b
 }
 
