Run routers that share through cuts, kills, stops and new keys, and count what they spend

A run starts only once every router sees every other: the first form did not check, and all its bounds held because the routers had never met (memberlist refused to join by address with node names required).

--- a/cmd/hillknot-lab/main.go
+++ b/cmd/hillknot-lab/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -13,7 +14,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "hillknot-lab", Short: "Measure hillknot on loopback", SilenceUsage: true}
-	var bin, only string
+	var bin, talker, only string
 	var quick bool
 	clients := &cobra.Command{
 		Use: "clients", Short: "Compare the client library with a plain client, in some five minutes", Args: cobra.NoArgs,
@@ -22,7 +23,20 @@
 	clients.Flags().StringVar(&bin, "router", "bin/hillknot", "the router `PROGRAM`")
 	clients.Flags().BoolVar(&quick, "quick", false, "in a fifth of the time, to see that it runs")
 	clients.Flags().StringVar(&only, "only", "", "one `PART` of "+strings.Join(lab.Parts, ", "))
-	root.AddCommand(clients)
+	var routers int
+	var each time.Duration
+	var seed uint64
+	together := &cobra.Command{
+		Use: "together", Short: "Run routers that share budgets through faults between them, in some two minutes", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return lab.Together(talker, routers, each, seed, cmd.OutOrStdout())
+		},
+	}
+	together.Flags().StringVar(&talker, "router", "bin/hillknot-talk", "the router `PROGRAM`, built with talk")
+	together.Flags().IntVar(&routers, "routers", 7, "how many")
+	together.Flags().DurationVar(&each, "each", 8*time.Second, "how long each fault lasts")
+	together.Flags().Uint64Var(&seed, "seed", 1, "of the faults and the load")
+	root.AddCommand(clients, together)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -75,6 +76,17 @@
 // connection is cut at every byte of the request and of the answer, falls silent there, the page cache breaks off,
 // fails, refuses or is late, and the caller goes away in the middle.
 func TestOrdersRunOnce(t *testing.T) {
+	for class, text := range map[string]string{"new-arrange": ordersConf, "play-count": episodes.Replace(ordersConf)} {
+		t.Run(class, func(t *testing.T) { runOnce(t, class, text) })
+	}
+}
+
+// episodes makes the second deployment's shape of the first one's.
+var episodes = strings.NewReplacer("new-arrange", "play-count", "part-page", "show-asset", `"maxAttempts":6`, `"maxAttempts":8`,
+	`"deadlineUs":3000000`, `"deadlineUs":2520000`, `"zone":"e"`, `"zone":"w"`, `"dcs":["hub","e"],"locality":"e"`,
+	`"dcs":["n","s","w"],"locality":"w"`, `"instancesByZone":[0,1]`, `"instancesByZone":[1,1,1]`, `"zone":"hub"`, `"zone":"n"`)
+
+func runOnce(t *testing.T, class, text string) {
 	b := &book{ran: map[string]int{}}
 	cache, err := standin.NewCache(nowhere, func(a standin.Ask) standin.Reply {
 		switch string(a.Body) {
@@ -100,7 +112,7 @@
 		t.Fatal(err)
 	}
 	defer cache.Close()
-	clients, _ := router(t, ordersConf, cache.Addr())
+	clients, _ := router(t, text, cache.Addr())
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	ends := map[string]int{}
@@ -109,7 +121,7 @@
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			end := order(t, b, clients.Addr().String(), i)
+			end := order(t, b, class, clients.Addr().String(), i)
 			mu.Lock()
 			ends[end]++
 			mu.Unlock()
@@ -125,7 +137,7 @@
 }
 
 // order sends the order of a numbered case, checks it, and returns how it ended.
-func order(t *testing.T, b *book, addr string, i int) string {
+func order(t *testing.T, b *book, class, addr string, i int) string {
 	rnd := rand.New(rand.NewPCG(uint64(i), 1))
 	flaw, body := standin.Flaw{Read: -1, Write: -1, Stall: i%2 == 0}, "well"
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,7 +154,7 @@
 	}
 	set := policy.Defaults()
 	set.Seed = uint64(i)
-	c, err := client.New(client.Config{Routers: []string{addr}, Policy: &set, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := client.New(client.Config{Routers: []string{addr}, Classes: map[string]client.Class{class: {Limit: 2 * time.Second}}, Policy: &set, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		nc, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
 		if err != nil {
 			return nil, err
@@ -154,7 +166,7 @@
 		return ""
 	}
 	item := rnd.Uint64()
-	_, err = c.Do(ctx, client.Request{Class: "new-arrange", Item: item, Body: []byte(body), Limit: 150 * time.Millisecond})
+	_, err = c.Do(ctx, client.Request{Class: class, Item: item, Body: []byte(body), Limit: 150 * time.Millisecond})
 	wait, done := context.WithTimeout(context.Background(), 20*time.Second)
 	defer done()
 	if err := c.Close(wait); err != nil {
@@ -216,3 +228,22 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// Routers that share budgets spend no more than these together, lose no request and run no order twice, while some are
+// cut off, cut one way, killed and stopped; a page cache that all find sick is tried for all by one.
+func TestFleetUnderFaults(t *testing.T) {
+	t.Setenv(asRouter, "1")
+	bin, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := lab.Faults(bin, 5, 3*time.Second, 1, []string{"two cut off from the rest", "one hears, is not heard", "kill and restart", "pause (SIGSTOP)", "keys rotated"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		if r.Broken() || r.Sent < 300 || r.Cold.Attempts+r.Retries.Attempts == 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -22,17 +22,21 @@
 	Backend *Backend
 	Routers []*Router
 	dir     string
-	caches  []*standin.Cache
+	set     Setup
+	caches  []*standin.Cache // on the list, the origin, spare
 	journal *standin.Journal
 }
 
 // Router is a router process.
 type Router struct {
+	IP   string
 	Addr string
 	bin  string
 	conf string
-	cmd  *exec.Cmd
-	dir  string
+
+	operator string
+	cmd      *exec.Cmd
+	dir      string
 }
 
 // Backend is what the page cache and the origin do.
@@ -93,17 +97,34 @@
 		Fields: fmt.Sprintf("res=%s,version=1,stamp=%d", note, time.Now().UnixMilli())}
 }
 
+// Setup is what a fleet consists of.
+type Setup struct {
+	Routers  int
+	Later    bool                                         // they tell refused clients how long to stay away
+	Caches   int                                          // page caches on the list; beside them there is an origin
+	Spare    int                                          // page caches that are not on the list yet
+	Beside   int                                          // routers that each router is told to stand beside, itself counted
+	Cold     int                                          // of its capacity, a new page cache may be sent this multiple
+	Answer   func(cache int, a standin.Ask) standin.Reply // nil: Backend answers
+	Operator func(i int, ip string) string                // the operator's file of a router; nil: there is none
+}
+
 // NewFleet starts so many routers of the program bin. With later, they tell refused clients how long to stay away.
 func NewFleet(bin string, routers int, later bool) (*Fleet, error) {
-	f := &Fleet{Backend: &Backend{Runs: map[string]int{}}}
-	if err := f.start(bin, routers, later); err != nil {
+	return StartFleet(bin, Setup{Routers: routers, Later: later, Caches: 2, Beside: 1, Cold: 4})
+}
+
+// StartFleet starts a fleet.
+func StartFleet(bin string, set Setup) (*Fleet, error) {
+	f := &Fleet{Backend: &Backend{Runs: map[string]int{}}, set: set}
+	if err := f.start(bin); err != nil {
 		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *Fleet) start(bin string, routers int, later bool) (err error) {
+func (f *Fleet) start(bin string) (err error) {
 	if f.dir, err = os.MkdirTemp("", "hillknot-lab-"); err != nil {
 		return err
 	}
@@ -111,21 +132,28 @@
 		return err
 	}
 	var hosts []map[string]any
-	for i, kind := range []string{"small", "small", "origin"} {
-		c, err := standin.NewCache("127.0.0.1:0", f.Backend.answer)
+	for i := range f.set.Caches + 1 + f.set.Spare {
+		answer := f.Backend.answer
+		if f.set.Answer != nil {
+			answer = func(a standin.Ask) standin.Reply { return f.set.Answer(i, a) }
+		}
+		c, err := standin.NewCache("127.0.0.1:0", answer)
 		if err != nil {
 			return err
 		}
 		f.caches = append(f.caches, c)
-		zone := "edge"
-		if kind == "origin" {
-			zone = "hub"
+		kind, zone := "small", "edge"
+		switch {
+		case i == f.set.Caches:
+			kind, zone = "origin", "hub"
+		case i > f.set.Caches:
+			continue
 		}
 		hosts = append(hosts, map[string]any{"instanceId": fmt.Sprintf("s-%d", i+1), "hostPort": c.Addr(), "zone": zone, "machineType": kind,
 			"lifecycle": "ready", "weight": 1})
 	}
-	for i := range routers {
-		r, err := f.router(bin, i, later, hosts)
+	for i := range f.set.Routers {
+		r, err := f.router(bin, i, hosts)
 		if err != nil {
 			return err
 		}
@@ -138,10 +166,11 @@
 }
 
 // router writes the configuration of one router.
-func (f *Fleet) router(bin string, i int, later bool, hosts []map[string]any) (*Router, error) {
+func (f *Fleet) router(bin string, i int, hosts []map[string]any) (*Router, error) {
 	// An address of its own to come back to: no other's connection can be given that port meanwhile.
 	n := rand.Uint32()
-	r := &Router{Addr: fmt.Sprintf("127.%d.%d.%d:7001", 64+n>>16&63, n>>8&255, 1+n%254), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
+	r := &Router{IP: fmt.Sprintf("127.%d.%d.%d", 64+n>>16&63, n>>8&255, 1+n%254), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
+	r.Addr = r.IP + ":7001"
 	r.conf = filepath.Join(r.dir, "config.json")
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	class := func(name, repeat string, aim, deadline time.Duration, worth int) map[string]any {
@@ -155,11 +184,11 @@
 		"settings": map[string]any{
 			"locality": "edge", "dcs": []string{"hub", "edge"}, "hostTypes": []string{"small", "origin"},
 			"allowed": map[string]any{"cancel": true, "connectTimeoutUs": 400000, "keepaliveUs": 30000000, "maxAttempts": 6,
-				"retryAfter": later, "maxRetryAfterUs": 500000},
-			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": 18000000, "fallUs": 2000000, "overloadFactor": 4},
+				"retryAfter": f.set.Later, "maxRetryAfterUs": 500000},
+			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": 18000000, "fallUs": 2000000, "overloadFactor": f.set.Cold},
 			"profiles": []any{class("full-score", "safe", 400*ms, 5*time.Second, 2), class("part-page", "safe", 250*ms, 3*time.Second, 1),
 				class("new-arrange", "unsafe", 700*ms, 3*time.Second, 3)},
-			"specifics": map[string]any{"instancesByZone": []int{0, 1}, "midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
+			"specifics": map[string]any{"instancesByZone": []int{0, f.set.Beside}, "midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
 				"classFreshUs": []int{0, 20000000, 0}, "purgeTakesUs": 6000000},
 		},
 	})
@@ -169,12 +198,22 @@
 	if err := os.Mkdir(r.dir, 0o700); err != nil {
 		return nil, err
 	}
+	if f.set.Operator != nil {
+		r.operator = filepath.Join(r.dir, "operator.hcl")
+		if err := os.WriteFile(r.operator, []byte(f.set.Operator(i, r.IP)), 0o600); err != nil {
+			return nil, err
+		}
+	}
 	return r, os.WriteFile(r.conf, text, 0o600)
 }
 
 // Start starts the process and waits until it accepts.
 func (r *Router) Start() error {
-	r.cmd = exec.Command(r.bin, "-config", r.conf, "--log-level", "error")
+	args := []string{"-config", r.conf, "--log-level", "error"}
+	if r.operator != "" {
+		args = append(args, "--operator", r.operator)
+	}
+	r.cmd = exec.Command(r.bin, args...)
 	r.cmd.Env = append(os.Environ(), "TMPDIR="+r.dir)
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -220,6 +259,15 @@
 	_ = os.RemoveAll(f.dir) // in the folder for what is temporary
 }
 
+// Tell has the journal tell an event: what comes behind "pos" in its data.
+func (f *Fleet) Tell(format string, args ...any) { f.journal.Tell(format, args...) }
+
+// StartSpare has the journal tell of a spare page cache that has just started, under a name.
+func (f *Fleet) StartSpare(i int, name string) {
+	f.Tell(`"hosts":{"generation":1,"reset":false,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"edge","machineType":"small","lifecycle":"ready","weight":1,"startedAtMs":%d}]}`,
+		name, f.caches[f.set.Caches+1+i].Addr(), time.Now().UnixMilli())
+}
+
 // addrs are the routers' addresses.
 func (f *Fleet) addrs() (out []string) {
 	for _, r := range f.Routers {
--- a/lab/purge.go
+++ b/lab/purge.go
@@ -78,7 +78,7 @@
 		mu.Lock()
 		purged = time.Now()
 		mu.Unlock()
-		f.journal.Tell(`"expire":{"name":%q,"stamp":%d}`, object, purged.UnixMilli())
+		f.Tell(`"expire":{"name":%q,"stamp":%d}`, object, purged.UnixMilli())
 		if err := send(8, 12); err != nil {
 			return p, err
 		}
--- /dev/null
+++ b/lab/together.go
@@ -0,0 +1,415 @@
+package lab
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"hillknot/internal/faultnet"
+	"hillknot/internal/standin"
+)
+
+// What the fleet of Together shares: so little that its load asks for more all the time.
+const (
+	coldRate, coldBurst   = 5.0, 14.0
+	retryRate, retryBurst = 14.0, 14.0
+	clockDrift            = 0.02
+	loadRate              = 25.0 // requests a second for each router
+	brokenShare           = 0.2  // of what the page caches are asked: it fails, and may have run
+)
+
+// Row is what one fault did to what is shared.
+type Row struct {
+	Fault          string
+	Cold, Retries  Peak
+	Sent, Answered int     // requests, and those with one final answer
+	Cut            int     // on connections that a kill ended
+	Never, Twice   int     // without an answer; with two
+	OrdersTwice    int     // orders that ran more than once
+	Packets        float64 // that a router sent others, a second
+}
+
+// Peak is the highest use of a budget in any window, as a share of what the bound allows there, with the counts.
+type Peak struct {
+	Share    float64
+	Count    int
+	Bound    float64
+	Window   time.Duration
+	Attempts int // in all
+}
+
+// Broken tells whether a row breaks a bound or a rule.
+func (r Row) Broken() bool {
+	return r.Cold.Share > 1 || r.Retries.Share > 1 || r.Never+r.Twice+r.OrdersTwice > 0
+}
+
+// ledger is what the stand-in page caches saw.
+type ledger struct {
+	mu    sync.Mutex
+	cold  []time.Time
+	again []time.Time     // attempts that follow one that may have run
+	ran   map[string]bool // by txn: an attempt was answered BROKE
+	runs  map[string]int  // orders
+	spare int             // places from here on are of new caches
+	now   int             // the one that is new in this fault
+	sick  int             // the one that fails; -1: none
+	tries []time.Time     // at that one
+	draw  func() float64
+}
+
+func (l *ledger) answer(place int, a standin.Ask) standin.Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := time.Now()
+	if place == l.spare+l.now {
+		l.cold = append(l.cold, at)
+	}
+	if a.Fields["kind"] == "new-arrange" {
+		l.runs[a.Fields["obj"]]++
+	}
+	if l.ran[a.ID] {
+		l.again = append(l.again, at)
+	}
+	if place == l.sick {
+		l.tries = append(l.tries, at)
+	}
+	if place == l.sick || l.draw() < brokenShare && l.sick < 0 {
+		l.ran[a.ID] = true
+		return standin.Reply{Word: "BROKE"}
+	}
+	return standin.Reply{Word: "DONE", Body: make([]byte, 1<<10), After: 10 * time.Millisecond,
+		Fields: fmt.Sprintf("res=cached,version=1,stamp=%d", at.UnixMilli())}
+}
+
+// peak holds times against a budget in windows of three lengths. What was sent in a window may come in one that is
+// shorter by a little: the page caches see it later than the routers.
+func peak(times []time.Time, rate, burst float64) (p Peak) {
+	slices.SortFunc(times, time.Time.Compare)
+	p.Attempts = len(times)
+	for _, w := range []time.Duration{250 * time.Millisecond, time.Second, 4 * time.Second} {
+		bound := burst + rate*(w+50*time.Millisecond).Seconds()*(1+clockDrift)
+		for i, j := 0, 0; i < len(times); i++ {
+			for times[i].Sub(times[j]) >= w {
+				j++
+			}
+			if share := float64(i-j+1) / bound; share > p.Share {
+				p.Share, p.Count, p.Bound, p.Window = share, i-j+1, bound, w
+			}
+		}
+	}
+	return p
+}
+
+// Talkers is a fleet whose routers talk over a network that goes wrong.
+type Talkers struct {
+	*Fleet
+	Net   *faultnet.Net
+	led   *ledger
+	keys  string
+	loads []*Load
+	seed  uint64
+}
+
+func doorOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 63, byte(os.Getpid()>>8&63 + 1), byte(1 + i)}), uint16(20000+os.Getpid()%20000))
+}
+
+// NewTalkers starts so many routers that share what they may spend, or, without talk, as many that share nothing. Spare
+// is how many new page caches can be started.
+func NewTalkers(bin string, routers, spare int, talk bool, seed uint64) (_ *Talkers, err error) {
+	t := &Talkers{Net: faultnet.New(seed), seed: seed}
+	state := seed
+	t.led = &ledger{ran: map[string]bool{}, runs: map[string]int{}, spare: 5, now: math.MinInt32, sick: -1, draw: func() float64 {
+		state = state*6364136223846793005 + 1442695040888963407
+		return float64(state>>11) / (1 << 53)
+	}}
+	dir, err := os.MkdirTemp("", "hillknot-keys-")
+	if err != nil {
+		return nil, err
+	}
+	t.keys = filepath.Join(dir, "keys")
+	defer func() {
+		if err != nil {
+			t.Close()
+		}
+	}()
+	if err := t.SetKeys(newKey()); err != nil {
+		return nil, err
+	}
+	set := Setup{Routers: routers, Later: true, Caches: 4, Spare: spare, Beside: routers, Cold: 1000, Answer: t.led.answer}
+	set.Operator = func(i int, ip string) string {
+		var peers []string
+		for o := range routers {
+			if o != i {
+				peers = append(peers, fmt.Sprintf("%q", doorOf(o)))
+			}
+		}
+		to := netip.AddrPortFrom(netip.MustParseAddr(ip), 7946)
+		if err := t.Net.Add(doorOf(i), to); err != nil {
+			return "# " + err.Error() // without a door it talks to nobody, which the checks find
+		}
+		if !talk {
+			return fmt.Sprintf("ops = \"%s:7055\"\n", ip)
+		}
+		return fmt.Sprintf(`ops = "%s:7055"
+fleet {
+  listen    = %q
+  advertise = %q
+  peers     = [%s]
+  key_file  = %q
+  size      = %d
+  cold {
+    rate  = %g
+    burst = %g
+  }
+  retries {
+    rate  = %g
+    burst = %g
+  }
+}
+`, ip, to, doorOf(i), strings.Join(peers, ", "), t.keys, routers, coldRate, max(coldBurst, 2*float64(routers)), retryRate, max(retryBurst, 2*float64(routers)))
+	}
+	if t.Fleet, err = StartFleet(bin, set); err != nil {
+		return nil, err
+	}
+	if !talk {
+		return t, nil
+	}
+	time.Sleep(3 * time.Second) // no loan of before can run
+	return t, t.met()
+}
+
+// met waits until every router sees every other: where they share nothing, no bound on what they share says anything.
+func (t *Talkers) met() error {
+	want := fmt.Sprintf("app_fleet_others %d\n", len(t.Routers)-1)
+	for _, r := range t.Routers {
+		figures := ""
+		for end := time.Now().Add(20 * time.Second); !strings.Contains(figures, want); figures = r.figures() {
+			if time.Now().After(end) {
+				return fmt.Errorf("router %s has not met all others: %s", r.Addr, figures)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// figures are those that a router shows its operators; empty where it does not answer.
+func (r *Router) figures() string {
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + r.IP + ":7055/status/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
+func newKey() string {
+	b := make([]byte, 32)
+	_, _ = rand.Read(b) // it never fails
+	return hex.EncodeToString(b)
+}
+
+// SetKeys writes the file of keys, as a whole.
+func (t *Talkers) SetKeys(keys ...string) error {
+	if err := os.WriteFile(t.keys+".new", []byte(strings.Join(keys, "\n")+"\n"), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(t.keys+".new", t.keys)
+}
+
+// Close ends all.
+func (t *Talkers) Close() {
+	for _, l := range t.loads {
+		l.End()
+	}
+	if t.Fleet != nil {
+		t.Fleet.Close()
+	}
+	t.Net.Close()
+	_ = os.RemoveAll(filepath.Dir(t.keys)) // in the folder for what is temporary
+}
+
+// Fault runs one fault over its time under load, with a page cache that has just started, and counts what it did. The
+// load of one router is double: it wants more than its part.
+func (t *Talkers) Fault(name string, new int, over time.Duration, do func() error) (Row, error) {
+	t.led.mu.Lock()
+	t.led.cold, t.led.again, t.led.now = nil, nil, new
+	t.led.mu.Unlock()
+	packets, began := t.Net.Passed.Load()+t.Net.Dropped.Load(), time.Now()
+	for i, r := range t.Routers {
+		rate := loadRate
+		if i == 0 {
+			rate *= 2
+		}
+		t.loads = append(t.loads, NewLoad(r.Addr, rate, t.seed+uint64(new*100+i)))
+	}
+	t.Tell(`"hosts":{"generation":1,"reset":false,"instances":[{"instanceId":"s-new-%d","lifecycle":"gone"}]}`, new-1)
+	t.StartSpare(new, fmt.Sprintf("s-new-%d", new))
+	time.Sleep(over / 4)
+	if err := do(); err != nil {
+		return Row{}, fmt.Errorf("%s: %w", name, err)
+	}
+	time.Sleep(over / 4 * 3)
+	row := Row{Fault: name}
+	for _, l := range t.loads {
+		l.End()
+		row.Sent += l.Sent
+		row.Answered += l.Served + l.Refused + l.Failed
+		row.Cut, row.Never, row.Twice = row.Cut+l.Cut, row.Never+l.Never, row.Twice+l.Twice
+	}
+	t.loads = nil
+	t.led.mu.Lock()
+	defer t.led.mu.Unlock()
+	n := float64(len(t.Routers))
+	row.Cold = peak(t.led.cold, coldRate, max(coldBurst, 2*n))
+	row.Retries = peak(t.led.again, retryRate, max(retryBurst, 2*n))
+	row.Packets = float64(t.Net.Passed.Load()+t.Net.Dropped.Load()-packets) / time.Since(began).Seconds() / n
+	for _, ran := range t.led.runs {
+		if ran > 1 {
+			row.OrdersTwice++
+		}
+	}
+	return row, nil
+}
+
+// rotate gives the fleet a new key while it runs: all learn it, all use it, all forget the old one.
+func (t *Talkers) rotate() error {
+	old, err := os.ReadFile(t.keys)
+	if err != nil {
+		return err
+	}
+	was, next := string(bytes.TrimSpace(old)), newKey()
+	for _, keys := range [][]string{{was, next}, {next, was}, {next}} {
+		if err := t.SetKeys(keys...); err != nil {
+			return err
+		}
+		for _, r := range t.Routers {
+			r.Signal(syscall.SIGHUP)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return nil
+}
+
+// Together runs a fleet through all faults, for so long each, and writes the table.
+func Together(bin string, routers int, each time.Duration, seed uint64, to io.Writer) error {
+	rows, err := Faults(bin, routers, each, seed, nil)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(to, "| fault | attempts at the new page cache, most in a window | of the bound | repeats, most in a window | of the bound | requests | answered once | cut by a kill | lost | orders twice | packets a second, a router |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(to, "| %s | %d in %v (bound %.1f) | %.2f | %d in %v (bound %.1f) | %.2f | %d | %d | %d | %d | %d | %.0f |\n", r.Fault, r.Cold.Count, r.Cold.Window,
+			r.Cold.Bound, r.Cold.Share, r.Retries.Count, r.Retries.Window, r.Retries.Bound, r.Retries.Share, r.Sent, r.Answered, r.Cut, r.Never+r.Twice, r.OrdersTwice, r.Packets)
+	}
+	for _, talk := range []bool{false, true} {
+		n, err := Sick(bin, routers, each, talk, seed)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(to, "\nAttempts at a page cache that fails all, in %v, %d routers, talk %v: %d\n", each, routers, talk, n)
+	}
+	return nil
+}
+
+// Faults runs the faults that are named, or all.
+func Faults(bin string, routers int, each time.Duration, seed uint64, only []string) (rows []Row, err error) {
+	faults := []struct {
+		name string
+		met  bool // all see all in the end
+		do   func(t *Talkers) error
+	}{
+		{"none", true, func(*Talkers) error { return nil }},
+		{"two cut off from the rest", false, func(t *Talkers) error { t.Net.Part([]int{0, 1}); return nil }},
+		{"heal", true, func(t *Talkers) error { t.Net.Heal(); return nil }},
+		{"one isolated", false, func(t *Talkers) error { t.Net.Part([]int{0}); return nil }},
+		{"one hears, is not heard", false, func(t *Talkers) error {
+			t.Net.Heal()
+			var all []int
+			for i := range t.Routers {
+				all = append(all, i)
+			}
+			t.Net.Cut([]int{0}, all)
+			return nil
+		}},
+		{"a third of the packets lost, others late", false, func(t *Talkers) error {
+			t.Net.Heal()
+			t.Net.Flaw(0.33, 300*time.Millisecond)
+			return nil
+		}},
+		{"kill and restart", true, func(t *Talkers) error {
+			t.Net.Heal()
+			for _, i := range []int{0, 1} {
+				t.Routers[i].Kill()
+				if err := t.Routers[i].Start(); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"pause (SIGSTOP)", true, func(t *Talkers) error {
+			t.Routers[1].Signal(syscall.SIGSTOP)
+			time.Sleep(each / 3)
+			t.Routers[1].Signal(syscall.SIGCONT)
+			return nil
+		}},
+		{"keys rotated", true, (*Talkers).rotate},
+	}
+	t, err := NewTalkers(bin, routers, len(faults), true, seed)
+	if err != nil {
+		return nil, err
+	}
+	defer t.Close()
+	for i, f := range faults {
+		if only != nil && !slices.Contains(only, f.name) {
+			continue
+		}
+		row, err := t.Fault(f.name, i, each, func() error { return f.do(t) })
+		if err != nil {
+			return nil, err
+		}
+		if f.met {
+			if err := t.met(); err != nil {
+				return nil, fmt.Errorf("after %s: %w", f.name, err)
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Sick counts how often a page cache that fails everything is tried, with talk and without.
+func Sick(bin string, routers int, over time.Duration, talk bool, seed uint64) (int, error) {
+	t, err := NewTalkers(bin, routers, 0, talk, seed)
+	if err != nil {
+		return 0, err
+	}
+	defer t.Close()
+	t.led.mu.Lock()
+	t.led.sick = 0
+	t.led.mu.Unlock()
+	for i, r := range t.Routers {
+		t.loads = append(t.loads, NewLoad(r.Addr, loadRate, seed+uint64(i)))
+	}
+	time.Sleep(over)
+	t.led.mu.Lock()
+	defer t.led.mu.Unlock()
+	return len(t.led.tries), nil
+}
