--- a/internal/fleetstate/budget.go
+++ b/internal/fleetstate/budget.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"hillknot/internal/fleetchoice"
 )
 
 // part is how many shares a router has of a budget for good, where nobody is over the configured size.
@@ -192,6 +194,9 @@
 	if want <= 0 {
 		return
 	}
+	if s.next < 0 {
+		s.next = fleetchoice.Start(s.set.Self, "borrow", len(s.live))
+	}
 	for range min(askedOf, len(s.live)) {
 		s.next, s.round = (s.next+1)%len(s.live), s.round+1
 		to, shares := s.live[s.next], (want+askedOf-1)/askedOf
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -85,7 +85,7 @@
 	retired bool          // a successor spends in our place
 	live    []string      // others, in order
 	crowd   int           // the most routers with a part of their own that were seen at once
-	next    int           // of live, who is asked next
+	next    int           // of live, who is asked next; -1: nobody was asked yet
 	round   uint64
 	budgets map[string]*budget
 	counts  map[string]*count
@@ -98,7 +98,7 @@
 	if err := set.Check(); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	return &State{set: set, crowd: set.Size, budgets: map[string]*budget{}, counts: map[string]*count{}, judged: map[string]*judgement{}}, nil
+	return &State{set: set, crowd: set.Size, next: -1, budgets: map[string]*budget{}, counts: map[string]*count{}, judged: map[string]*judgement{}}, nil
 }
 
 // Outbox returns what is to be sent, and forgets it.
--- a/internal/fleetstate/verdict.go
+++ b/internal/fleetstate/verdict.go
@@ -1,10 +1,11 @@
 package fleetstate
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
+
+	"hillknot/internal/fleetchoice"
 )
 
 // illAfter is how many failures in a row a router must have seen itself before it says so.
@@ -123,17 +124,7 @@
 	if !s.Sick(now, node) {
 		return false
 	}
-	best := score(s.set.Self, node)
-	return slices.ContainsFunc(s.live, func(o string) bool { return score(o, node) > best })
-}
-
-func score(name, node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(node + "\x00" + name)) // it never fails
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9 // the last bytes of the name are to count as much as the first
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return len(s.live) > 0 && fleetchoice.First("try "+node, append([]string{s.set.Self}, s.live...)) != s.set.Self
 }
 
 // Verdicts are the page caches that are held to be sick now, in order, and how many verdicts there were in all.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"hillknot/internal/config"
+	"hillknot/internal/fleetchoice"
 	"hillknot/internal/fleetkeys"
 	"hillknot/internal/fleetstate"
 )
@@ -162,6 +163,11 @@
 
 // rejoin calls those of the configured peers that are not in the list.
 func (m *Members) rejoin(stop <-chan struct{}) {
+	select { // a fleet that starts all at once does not call all at once
+	case <-stop:
+		return
+	case <-time.After(fleetchoice.Turn(m.name, "meet", nil, meetEvery/4)):
+	}
 	tick := time.NewTicker(meetEvery / 2)
 	defer tick.Stop()
 	for {
