Draw faults between routers from seeds, and hold their budgets through them

Need: the faults were a fixed list; a schedule from a seed finds what nobody listed. faultnet.Schedule draws partitions, cuts one way, losses, kills and stops; hillknot-lab together and TestFleetUnderFaults carry one out.

--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rows, err := lab.Faults(bin, 5, 3*time.Second, 1, []string{"two cut off from the rest", "one hears, is not heard", "kill and restart", "pause (SIGSTOP)", "keys rotated"})
+	rows, err := lab.Faults(bin, 5, 3*time.Second, 1, []string{"two cut off from the rest", "one hears, is not heard", "kill and restart", "pause (SIGSTOP)", "keys rotated", "drawn from the seed"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -253,3 +253,68 @@
 		}
 	}
 }
+
+// Step is a fault that a schedule draws.
+type Step struct {
+	After time.Duration // since the step before
+	What  What
+	Who   []int // whom it strikes
+}
+
+// What a step does.
+type What uint8
+
+// The faults. Those of a process are the caller's to carry out.
+const (
+	Whole   What = iota // all faults of the network end
+	Parted              // some are cut off from the rest
+	Unheard             // one is not heard by any other, and hears all
+	Deaf                // one hears no other, and is heard by all
+	Lossy               // packets are lost and late
+	Killed              // a process is killed and started again
+	Paused              // a process is stopped for a while
+)
+
+func (w What) String() string {
+	return [...]string{"whole", "parted", "not heard", "deaf", "lossy", "killed", "paused"}[w]
+}
+
+// Schedule draws faults for so many processes over a time, the same from the same seed. It ends whole.
+func Schedule(seed uint64, processes int, over, mean time.Duration) (steps []Step) {
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	for at := time.Duration(0); ; {
+		s := Step{After: time.Duration((0.5 + rnd.Float64()) * float64(mean)), What: What(rnd.IntN(int(Paused) + 1))}
+		if at += s.After; at > over {
+			return append(steps, Step{What: Whole})
+		}
+		switch s.What {
+		case Parted:
+			s.Who = rnd.Perm(processes)[:1+rnd.IntN(max(processes/2, 1))]
+		case Unheard, Deaf, Killed, Paused:
+			s.Who = []int{rnd.IntN(processes)}
+		}
+		steps = append(steps, s)
+	}
+}
+
+// Do carries out a step's fault of the network; what was done before goes on until a step is Whole.
+func (n *Net) Do(s Step) {
+	n.mu.Lock()
+	var all []int
+	for i := range n.doors {
+		all = append(all, i)
+	}
+	n.mu.Unlock()
+	switch s.What {
+	case Whole:
+		n.Heal()
+	case Parted:
+		n.Part(s.Who)
+	case Unheard:
+		n.Cut(s.Who, all)
+	case Deaf:
+		n.Cut(all, s.Who)
+	case Lossy:
+		n.Flaw(0.3, 200*time.Millisecond)
+	}
+}
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -1,6 +1,7 @@
 package faultnet
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -57,3 +58,25 @@
 	n.Flaw(0, 20*time.Millisecond)
 	both("late", true, true)
 }
+
+// A schedule is the same from the same seed, strikes only processes that are there, and ends whole.
+func TestSchedule(t *testing.T) {
+	seen := map[What]bool{}
+	for seed := range uint64(50) {
+		a, b := Schedule(seed, 5, 20*time.Second, time.Second), Schedule(seed, 5, 20*time.Second, time.Second)
+		if fmt.Sprint(a) != fmt.Sprint(b) || a[len(a)-1].What != Whole {
+			t.Fatalf("seed %d: %v, then %v", seed, a, b)
+		}
+		for _, s := range a {
+			seen[s.What] = true
+			for _, i := range s.Who {
+				if i < 0 || i > 4 || len(s.Who) > 2 {
+					t.Errorf("seed %d: %v", seed, s)
+				}
+			}
+		}
+	}
+	if len(seen) != int(Paused)+1 {
+		t.Errorf("only these faults were drawn: %v", seen)
+	}
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -114,6 +114,9 @@
 	return StartFleet(bin, Setup{Routers: routers, Later: later, Caches: 2, Beside: 1, Cold: 4})
 }
 
+// coldFor is how long a page cache of the fleet is cold after its start.
+const coldFor = 18 * time.Second
+
 // StartFleet starts a fleet.
 func StartFleet(bin string, set Setup) (*Fleet, error) {
 	f := &Fleet{Backend: &Backend{Runs: map[string]int{}}, set: set}
@@ -185,7 +188,7 @@
 			"locality": "edge", "dcs": []string{"hub", "edge"}, "hostTypes": []string{"small", "origin"},
 			"allowed": map[string]any{"cancel": true, "connectTimeoutUs": 400000, "keepaliveUs": 30000000, "maxAttempts": 6,
 				"retryAfter": f.set.Later, "maxRetryAfterUs": 500000},
-			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": 18000000, "fallUs": 2000000, "overloadFactor": f.set.Cold},
+			"invariants": map[string]any{"coldFrom": 0.21, "coldUs": us(coldFor), "fallUs": 2000000, "overloadFactor": f.set.Cold},
 			"profiles": []any{class("full-score", "safe", 400*ms, 5*time.Second, 2), class("part-page", "safe", 250*ms, 3*time.Second, 1),
 				class("new-arrange", "unsafe", 700*ms, 3*time.Second, 3)},
 			"specifics": map[string]any{"instancesByZone": []int{0, f.set.Beside}, "midKind": -1, "storeKind": 1, "classWrite": []bool{false, false, true},
--- a/lab/together.go
+++ b/lab/together.go
@@ -57,23 +57,24 @@
 
 // ledger is what the stand-in page caches saw.
 type ledger struct {
-	mu    sync.Mutex
-	cold  []time.Time
-	again []time.Time     // attempts that follow one that may have run
-	ran   map[string]bool // by txn: an attempt was answered BROKE
-	runs  map[string]int  // orders
-	spare int             // places from here on are of new caches
-	now   int             // the one that is new in this fault
-	sick  int             // the one that fails; -1: none
-	tries []time.Time     // at that one
-	draw  func() float64
+	mu      sync.Mutex
+	cold    []time.Time
+	again   []time.Time     // attempts that follow one that may have run
+	ran     map[string]bool // by txn: an attempt was answered BROKE
+	runs    map[string]int  // orders
+	spare   int             // places from here on are of new caches
+	now     int             // the one that is new in this fault
+	started time.Time       // when that started: it is cold for coldFor
+	sick    int             // the one that fails; -1: none
+	tries   []time.Time     // at that one
+	draw    func() float64
 }
 
 func (l *ledger) answer(place int, a standin.Ask) standin.Reply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := time.Now()
-	if place == l.spare+l.now {
+	if place == l.spare+l.now && at.Sub(l.started) < coldFor {
 		l.cold = append(l.cold, at)
 	}
 	if a.Fields["kind"] == "new-arrange" {
@@ -250,7 +251,7 @@
 // load of one router is double: it wants more than its part.
 func (t *Talkers) Fault(name string, new int, over time.Duration, do func() error) (Row, error) {
 	t.led.mu.Lock()
-	t.led.cold, t.led.again, t.led.now = nil, nil, new
+	t.led.cold, t.led.again, t.led.now, t.led.started = nil, nil, new, time.Now()
 	t.led.mu.Unlock()
 	packets, began := t.Net.Passed.Load()+t.Net.Dropped.Load(), time.Now()
 	for i, r := range t.Routers {
@@ -308,6 +309,28 @@
 	return nil
 }
 
+// follow carries out a schedule.
+func (t *Talkers) follow(steps []faultnet.Step) error {
+	for _, s := range steps {
+		time.Sleep(s.After)
+		t.Net.Do(s)
+		for _, i := range s.Who {
+			switch r := t.Routers[i]; s.What {
+			case faultnet.Killed:
+				r.Kill()
+				if err := r.Start(); err != nil {
+					return err
+				}
+			case faultnet.Paused:
+				r.Signal(syscall.SIGSTOP)
+				time.Sleep(time.Second)
+				r.Signal(syscall.SIGCONT)
+			}
+		}
+	}
+	return nil
+}
+
 // Together runs a fleet through all faults, for so long each, and writes the table.
 func Together(bin string, routers int, each time.Duration, seed uint64, to io.Writer) error {
 	rows, err := Faults(bin, routers, each, seed, nil)
@@ -371,6 +394,7 @@
 			return nil
 		}},
 		{"keys rotated", true, (*Talkers).rotate},
+		{"drawn from the seed", true, func(t *Talkers) error { return t.follow(faultnet.Schedule(seed, routers, 2*each, each/8)) }},
 	}
 	t, err := NewTalkers(bin, routers, len(faults), true, seed)
 	if err != nil {
