Go by the larger size where routers of a fleet were given unlike ones, and say so

Need: the bound on what routers share divides by the configured size; one router with a smaller figure would take more than its part, and nothing showed it. Each router now tells its size in its gossip entry, and all go by the largest they have heard of (as they did by the number they saw).

TestMoreThanConfigured: as one of four in place of two, a quarter of the rate is spent, and stays so when the others are gone.

--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -19,6 +19,7 @@
 type Peers interface {
 	Send(letters []fleetstate.Letter)
 	Know(all []fleetstate.Message)        // what one who has heard nothing is told
+	Lost() uint64                         // letters that were dropped, as too many waited
 	Alive() (others []string, owners int) // names in order; routers with a part of their own
 }
 
@@ -158,6 +159,7 @@
 // FleetFigures are what a router shares, for operators.
 type FleetFigures struct {
 	Others int      // routers that are alive beside this one
+	Lost   uint64   // letters to them that were dropped, as too many waited
 	Sick   []string // page caches that all keep away from but one router
 	Made   uint64   // verdicts so far
 	Counts []FleetCount
@@ -173,7 +175,7 @@
 func (s *Shared) figures() *FleetFigures {
 	f := &FleetFigures{}
 	others, _ := s.peers.Alive()
-	f.Others = len(others)
+	f.Others, f.Lost = len(others), s.peers.Lost()
 	f.Sick, f.Made = s.state.Verdicts(s.core.now)
 	for _, key := range s.state.Counts() {
 		f.Counts = append(f.Counts, FleetCount{key, s.state.Total(key)})
--- a/internal/fleetstate/budget.go
+++ b/internal/fleetstate/budget.go
@@ -73,9 +73,6 @@
 // Close closes a budget.
 func (s *State) Close(key string) { delete(s.budgets, key) }
 
-// Has tells whether a budget is open.
-func (s *State) Has(key string) bool { return s.budgets[key] != nil }
-
 // whole is how many shares a budget is cut into.
 func (s *State) whole() int { return part * s.crowd }
 
--- a/internal/fleetstate/sim_test.go
+++ b/internal/fleetstate/sim_test.go
@@ -287,6 +287,33 @@
 	}
 }
 
+// Where more routers are seen, or any was told of more, than this one was, its part shrinks to theirs, and stays so.
+func TestMoreThanConfigured(t *testing.T) {
+	s, err := New(Defaults("a", 1, 2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Beat(time.Second)
+	s.Open(time.Second, "b", Terms{Rate: 100, Burst: 4}, 0)
+	spend := func(from time.Duration) (n int) {
+		for now := from; now < from+10*time.Second; now += 10 * ms {
+			if s.May(now, "b") {
+				s.Spend(now, "b")
+				n++
+			}
+		}
+		return n
+	}
+	if n := spend(10 * time.Second); n < 495 || n > 502 {
+		t.Errorf("half of 100 a second: %d in 10 s", n)
+	}
+	s.Live(nil, 4)
+	s.Live(nil, 1)
+	if n := spend(30 * time.Second); n < 245 || n > 252 {
+		t.Errorf("a quarter of 100 a second, as one of four: %d in 10 s", n)
+	}
+}
+
 // A budget starts empty; shares that were lent earn for the borrower alone up to their end, whoever is stopped then.
 func TestWhatSharesEarn(t *testing.T) {
 	s, err := New(Defaults("a", 1, 2))
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -41,8 +41,8 @@
 	switch {
 	case !validName(s.Self):
 		return fmt.Errorf("Self is %q, not a name of up to %d bytes", s.Self, nameMost)
-	case s.Size < 1 || s.Size > 1000:
-		return fmt.Errorf("Size is %d, not 1 to 1000", s.Size)
+	case s.Size < 1 || s.Size > SizeMost:
+		return fmt.Errorf("Size is %d, not 1 to %d", s.Size, SizeMost)
 	case s.Beat < 10*time.Millisecond || s.Lease < 4*s.Beat || s.Lease > time.Minute:
 		return fmt.Errorf("Beat %v, Lease %v: four beats at least must fit in a lease, and that in a minute", s.Beat, s.Lease)
 	case s.Verdict < 2*s.Beat || s.Verdict > time.Minute:
@@ -60,6 +60,9 @@
 	return time.Duration(math.Ceil(float64(d) * (1 + s.Drift) / (1 - s.Drift)))
 }
 
+// SizeMost is the largest fleet.
+const SizeMost = 1000
+
 // The bounds of what is held, whatever others say.
 const (
 	nameMost    = 128
@@ -125,8 +128,8 @@
 }
 
 // Live tells who else is alive: their names in order, without the own one, and how many routers with a part of their
-// own are seen, this one counted. Where there are more of them than the operator configured, each part shrinks, for
-// good: parts that add up to more than the whole would break every bound.
+// own there are, this one counted: as many as are seen, or as any of them was told. Where that is more than the operator
+// configured here, each part shrinks, for good: parts that add up to more than the whole would break every bound.
 func (s *State) Live(others []string, owners int) {
 	s.live = others
 	s.crowd = max(s.crowd, owners)
@@ -135,9 +138,9 @@
 // Retire tells whether a successor of this process spends in its place. What has been lent stays lent.
 func (s *State) Retire(yes bool) { s.retired = yes }
 
-// Take takes a message that was sent by Settings.Self of another router, or by an earlier process of this one.
+// Take takes a message of another router, or of an earlier process of this one. What makes no sense is passed over.
 func (s *State) Take(now time.Duration, m Message) {
-	if !validName(m.From) || !validName(m.Key) && m.Kind != kindNone {
+	if !validName(m.From) || !validName(m.Key) {
 		return
 	}
 	switch m.Kind {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,7 @@
 	list   atomic.Pointer[memberlist.Memberlist]
 	queue  memberlist.TransmitLimitedQueue
 	lost   atomic.Uint64 // letters that were dropped
+	warned atomic.Bool   // of another size
 	keyMu  sync.Mutex
 }
 
@@ -232,8 +234,8 @@
 	m.whole.Store(&b)
 }
 
-// Alive names the others that are alive, in order, and tells how many routers with a part of their own are, this one
-// counted.
+// Alive names the others that are alive, in order, and tells how many routers with a part of their own there are: as many
+// as are alive, this one counted, or as any of them was configured to count on, where that is more.
 func (m *Members) Alive() (others []string, owners int) {
 	if !m.guest {
 		owners++
@@ -242,6 +244,7 @@
 	if list == nil {
 		return nil, owners
 	}
+	told := 0
 	for _, n := range list.Members() {
 		if n.Name == m.name {
 			continue
@@ -250,9 +253,15 @@
 		if string(n.Meta) != guestMeta {
 			owners++
 		}
+		if size, err := strconv.Atoi(string(n.Meta)); err == nil && size <= fleetstate.SizeMost {
+			told = max(told, size)
+		}
+	}
+	if told > m.cfg.State.Size && !m.warned.Swap(true) {
+		slog.Error("another router was given a larger size of the fleet: all must have the same; the larger one counts", "own", m.cfg.State.Size, "other", told)
 	}
 	slices.Sort(others)
-	return others, owners
+	return others, max(owners, told)
 }
 
 func (m *Members) count() int {
@@ -287,7 +296,7 @@
 	if d.m.guest {
 		return []byte(guestMeta)
 	}
-	return nil
+	return strconv.AppendInt(nil, int64(d.m.cfg.State.Size), 10)
 }
 
 func (d delegate) NotifyMsg(b []byte) { d.m.take(b) }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -157,6 +157,7 @@
 // appendFleet appends what the router shares with others, where it does.
 func appendFleet(b []byte, f *core.FleetFigures) []byte {
 	b = fmt.Appendf(appendKind(b, "fleet_others", "Routers alive beside this one.", "gauge"), "app_fleet_others %d\n", f.Others)
+	b = fmt.Appendf(appendKind(b, "fleet_lost", "Letters to other routers dropped, as too many waited.", "counter"), "app_fleet_lost %d\n", f.Lost)
 	b = fmt.Appendf(appendKind(b, "fleet_verdicts", "Verdicts on page caches so far.", "counter"), "app_fleet_verdicts %d\n", f.Made)
 	b = appendKind(b, "fleet_sick", "Page caches that the routers agree to be sick.", "gauge")
 	for _, node := range f.Sick {
