Test that routers agree on a sick page cache, on its recovery and on its count of errors

Need: the multi-process test checked what is spent, not what is agreed on; its comment said more than it did.

With evidence not taken it fails at the verdict, with counts added up in place of merged at the count.

--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -230,7 +230,7 @@
 }
 
 // Routers that share budgets spend no more than these together, lose no request and run no order twice, while some are
-// cut off, cut one way, killed and stopped; a page cache that all find sick is tried for all by one.
+// cut off, cut one way, killed and stopped.
 func TestFleetUnderFaults(t *testing.T) {
 	t.Setenv(asRouter, "1")
 	bin, err := os.Executable()
@@ -247,3 +247,15 @@
 		}
 	}
 }
+
+// Routers agree that a page cache is sick, that it is well again, and how often it failed.
+func TestFleetAgrees(t *testing.T) {
+	t.Setenv(asRouter, "1")
+	bin, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := lab.Agree(bin, 5, 1); err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/together.go
+++ b/lab/together.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -195,14 +196,8 @@
 // met waits until every router sees every other: where they share nothing, no bound on what they share says anything.
 func (t *Talkers) met() error {
 	want := fmt.Sprintf("app_fleet_others %d\n", len(t.Routers)-1)
-	for _, r := range t.Routers {
-		figures := ""
-		for end := time.Now().Add(20 * time.Second); !strings.Contains(figures, want); figures = r.figures() {
-			if time.Now().After(end) {
-				return fmt.Errorf("router %s has not met all others: %s", r.Addr, figures)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
+	if err := t.all(func(figures string) bool { return strings.Contains(figures, want) }); err != nil {
+		return fmt.Errorf("not all have met: %w", err)
 	}
 	return nil
 }
@@ -419,6 +414,57 @@
 	return rows, nil
 }
 
+// Agree has a page cache fail everything until every router holds it to be sick, and then answer everything until none
+// does, and all have the same counts of its errors. An error says what was not agreed on in time.
+func Agree(bin string, routers int, seed uint64) error {
+	t, err := NewTalkers(bin, routers, 0, true, seed)
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	const verdict = "app_fleet_sick{cache=\"s-1\"} 1\n"
+	for i, r := range t.Routers {
+		t.loads = append(t.loads, NewLoad(r.Addr, loadRate, seed+uint64(i)))
+	}
+	for _, sick := range []bool{true, false} {
+		t.led.mu.Lock()
+		t.led.sick, t.led.draw = -1, func() float64 { return 1 }
+		if sick {
+			t.led.sick = 0
+		}
+		t.led.mu.Unlock()
+		if err := t.all(func(figures string) bool { return strings.Contains(figures, verdict) == sick && figures != "" }); err != nil {
+			return fmt.Errorf("a page cache that is sick: %v: %w", sick, err)
+		}
+	}
+	for _, l := range t.loads {
+		l.End()
+	}
+	t.loads = nil
+	counted := regexp.MustCompile(`app_fleet_count\{of="errors s-1"\} (\d+)`)
+	t.led.mu.Lock()
+	failed := len(t.led.tries)
+	t.led.mu.Unlock()
+	return t.all(func(figures string) bool {
+		m := counted.FindStringSubmatch(figures)
+		return m != nil && m[1] == fmt.Sprint(failed)
+	})
+}
+
+// all waits until what every router shows is as it should be.
+func (t *Talkers) all(good func(figures string) bool) error {
+	for _, r := range t.Routers {
+		figures := r.figures()
+		for end := time.Now().Add(20 * time.Second); !good(figures); figures = r.figures() {
+			if time.Now().After(end) {
+				return fmt.Errorf("router %s shows %s", r.Addr, figures)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
 // Sick counts how often a page cache that fails everything is tried, with talk and without.
 func Sick(bin string, routers int, over time.Duration, talk bool, seed uint64) (int, error) {
 	t, err := NewTalkers(bin, routers, 0, talk, seed)
