--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	c.Follow(feed.Behind)
 	front, err := msgrpc.Listen(cfg.Listen, cfg.Inherited, c, cfg.Limits, cfg.Settings.Classes, budget)
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -297,7 +297,7 @@
 		OpsConns: 16, OpsHead: 8 << 10, OpsBody: 8 << 10,
 
 		// A purge binds half a second after it was told, at the earliest.
-		Quiet: 300 * ms, Gather: 2 * ms, GatherMost: 20 * ms,
+		Quiet: 300 * ms, Gather: ms, GatherMost: 100 * ms,
 
 		Linger: 700 * ms,
 
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -35,8 +35,8 @@
 	OpsConns         int           // connections of operators
 	OpsHead, OpsBody int           // bytes of the head of an operator's call, and of its body
 	Quiet            time.Duration // a loop that had no turn for so long may have been stopped
-	Gather           time.Duration // it then waits until nothing more has come in for so long
-	GatherMost       time.Duration // and no longer than this
+	Gather           time.Duration // it then looks this often whether the journal is read
+	GatherMost       time.Duration // and waits no longer than this
 	Linger           time.Duration // how long a router that is to end still takes requests
 	Finish           time.Duration // and how long it has in all to answer what is open
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -119,6 +119,8 @@
 	wake  chan struct{}
 	ids   atomic.Uint64
 
+	behind func() bool // the journal has more; nil: nobody knows
+
 	now      time.Duration
 	events   []brain.Event
 	open     map[brain.RequestID]*request
@@ -177,6 +179,10 @@
 // Use sets the upstream. It is called once, before Run.
 func (c *Core) Use(up Upstream) { c.up = up }
 
+// Follow sets what tells whether the journal has sent something that Tell has not been called for. It is called once,
+// before Run.
+func (c *Core) Follow(behind func() bool) { c.behind = behind }
+
 // NewID returns an id that no other request has. It may be called anywhere.
 func (c *Core) NewID() brain.RequestID { return brain.RequestID(c.ids.Add(1)) }
 
@@ -221,21 +227,15 @@
 	}
 }
 
-// gather waits until nothing more comes in for a moment, where the turn before is so long ago that the process may have
-// been stopped, or got no time. What came in meanwhile waits in sockets, and is read in no set order: a request must
+// gather waits until all that the journal has sent is handed on, where the turn before is so long ago that the process may
+// have been stopped, or got no time. What came in meanwhile waits in sockets, and is read in no set order: a request must
 // not overtake the purge that the journal had told before it.
 func (c *Core) gather() {
-	if c.clock()-c.now < c.lim.Quiet {
+	if c.behind == nil || c.clock()-c.now < c.lim.Quiet {
 		return
 	}
-	for have, end := -1, c.clock()+c.lim.GatherMost; c.clock() < end; time.Sleep(c.lim.Gather) {
-		c.mu.Lock()
-		n := len(c.news) + len(c.inbox)
-		c.mu.Unlock()
-		if n == have {
-			return
-		}
-		have = n
+	for end := c.clock() + c.lim.GatherMost; c.behind() && c.clock() < end; {
+		time.Sleep(c.lim.Gather)
 	}
 }
 
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -31,6 +31,7 @@
 	mu    sync.Mutex
 	addr  string
 	moved chan struct{} // closed when the address has changed
+	now   *netio.Conn   // the open connection; nil: there is none
 	last  int64         // position of the latest event that was handed on
 	grown chan struct{} // closed when that has changed
 }
@@ -131,6 +132,20 @@
 	}
 }
 
+func (cl *Client) open(nc *netio.Conn) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.now = nc
+}
+
+// Behind tells whether the journal has sent what is not handed on yet. It may be called anywhere.
+func (cl *Client) Behind() bool {
+	cl.mu.Lock()
+	nc := cl.now
+	cl.mu.Unlock()
+	return nc != nil && nc.Unread()
+}
+
 // call reads the journal over one connection until that ends or falls silent, or the journal moves. It tells
 // whether anything came.
 func (cl *Client) call(addr string, pos int64, moved, stop <-chan struct{}) (heard bool, err error) {
@@ -140,7 +155,8 @@
 	if err != nil {
 		return false, err
 	}
-	defer nc.Close()
+	cl.open(nc)
+	defer func() { cl.open(nil); nc.Close() }()
 	req := "GET /journal HTTP/1.1\r\nHost: " + addr + "\r\nAccept: text/event-stream\r\nConnection: close\r\nLast-Event-ID: " +
 		strconv.FormatInt(pos, 10) + "\r\n\r\n"
 	if err := nc.WriteNow([]byte(req)); err != nil {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"hillknot/internal/config"
 )
@@ -116,6 +117,17 @@
 	}
 }
 
+// Unread tells whether bytes have come that the handler has not taken yet, in the socket or behind it. Where the system
+// does not say, there are none. A close in this moment may make it wrong, once.
+func (c *Conn) Unread() bool {
+	if fd, ok := c.nc.(interface{ Fd() int }); ok && c.nc.IsActive() {
+		if n, err := unix.IoctlGetInt(fd.Fd(), unix.TIOCINQ); err == nil && n > 0 {
+			return true
+		}
+	}
+	return c.nc.Reader().Len() > 0
+}
+
 // Remote is the peer's address.
 func (c *Conn) Remote() net.Addr { return c.nc.RemoteAddr() }
 
