--- a/cmd/hillknot/orders_test.go
+++ b/cmd/hillknot/orders_test.go
@@ -196,14 +196,20 @@
 
 const asRouter = "HILLKNOT_TEST_AS_ROUTER"
 
-// Orders run once at most, too, where the router's process is killed under them.
-func TestOrdersWithRoutersKilled(t *testing.T) {
+// program is the test's own program, which is the router where it is started from this test.
+func program(t *testing.T) string {
+	t.Helper()
 	t.Setenv(asRouter, "1")
 	bin, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	o, err := lab.LibraryOrders(bin, 200*time.Millisecond)
+	return bin
+}
+
+// Orders run once at most, too, where the router's process is killed under them.
+func TestOrdersWithRoutersKilled(t *testing.T) {
+	o, err := lab.LibraryOrders(program(t), 200*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -215,12 +221,7 @@
 // A process that got no time for a while finds a purge and requests waiting together. Nothing it then sends may be
 // answered from a copy of before the purge, not even what it had decided on before.
 func TestPurgeAfterAStop(t *testing.T) {
-	t.Setenv(asRouter, "1")
-	bin, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := lab.PurgeAfterStop(bin, 8)
+	p, err := lab.PurgeAfterStop(program(t), 8)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,12 +233,7 @@
 // Routers that share budgets spend no more than these together, lose no request and run no order twice, while some are
 // cut off, cut one way, killed and stopped.
 func TestFleetUnderFaults(t *testing.T) {
-	t.Setenv(asRouter, "1")
-	bin, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	rows, err := lab.Faults(bin, 5, 3*time.Second, 1, []string{"two cut off from the rest", "one hears, is not heard", "kill and restart", "pause (SIGSTOP)", "keys rotated", "drawn from the seed"})
+	rows, err := lab.Faults(program(t), 5, 3*time.Second, 1, []string{"two cut off from the rest", "one hears, is not heard", "kill and restart", "pause (SIGSTOP)", "keys rotated", "drawn from the seed"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -250,12 +246,7 @@
 
 // Routers agree that a page cache is sick, that it is well again, and how often it failed.
 func TestFleetAgrees(t *testing.T) {
-	t.Setenv(asRouter, "1")
-	bin, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := lab.Agree(bin, 5, 1); err != nil {
+	if err := lab.Agree(program(t), 5, 1); err != nil {
 		t.Error(err)
 	}
 }
