--- a/client/client.go
+++ b/client/client.go
@@ -170,6 +170,8 @@
 	begun time.Duration
 	pc    *policy.Call
 	wire  *conn  // on which it is out
+	txn   uint64 // of its latest try
+	lost  uint64 // of the first try whose router was lost
 	id    uint32 // there
 	done  chan struct{}
 
--- a/client/conn.go
+++ b/client/conn.go
@@ -169,6 +169,9 @@
 			unsent = append(unsent, q.pc)
 		} else {
 			lost = append(lost, q.pc)
+			if q.lost == 0 { // a claim that is lost itself names the same
+				q.lost = q.txn
+			}
 		}
 	}
 	c.observe(Observation{What: Disconnected, Router: n.addr, Err: err})
@@ -244,7 +247,12 @@
 		return buf
 	}
 	n.taken = append(n.taken, written{id: it.id, start: len(buf)})
-	return rpcwire.AppendCall(buf, uint64(it.id), &rpcwire.Request{Method: n.c.names[q.class], Txn: n.c.txns.Uint64(),
+	q.txn = n.c.txns.Uint64()
+	resumes := uint64(0)
+	if q.pc.Claims() {
+		resumes = q.lost
+	}
+	return rpcwire.AppendCall(buf, uint64(it.id), &rpcwire.Request{Method: n.c.names[q.class], Txn: q.txn, Resumes: resumes,
 		Limit: max(limit.Milliseconds(), 1), Second: it.second, Item: q.req.Item, Nth: q.req.Part, Batch: q.req.Group,
 		Got: q.req.Have, Body: q.req.Body})
 }
--- a/client/policy/policy.go
+++ b/client/policy/policy.go
@@ -80,6 +80,8 @@
 	tries    int // written, or about to be
 	moves    int // sent, but surely not a byte went out
 	maybeRan bool
+	claim    bool // its router was lost: the next tries ask what became of it
+	claimed  bool // it has done so once, which the budget of retries is not asked for
 	fixed    bool // must not be tried again
 	crossed  bool // has gone again after it crossed a router's close
 	counted  bool // as waiting
@@ -101,6 +103,9 @@
 	ended
 )
 
+// Claims tells whether the call's next try asks what became of it.
+func (c *Call) Claims() bool { return c.claim }
+
 // Fix says that the call must not be tried again: part of an answer has been handed over already.
 func (c *Call) Fix() { c.fixed = true }
 
@@ -110,6 +115,7 @@
 	Tries          uint64 // sent to routers
 	Retries        uint64 // of these, tries after a first
 	Moves          uint64 // times that a call went to another connection as not a byte of it had gone out
+	Claims         uint64 // orders that asked another router what became of them
 	Crossings      uint64 // times that a call went again as it had crossed a router's close
 	RefusedLocally uint64
 	OutOfBudget    uint64 // retries that the budget did not allow
@@ -283,8 +289,10 @@
 		r.away = max(r.away, now+min(wait, p.set.LongestWait))
 		p.again(c, End{Verdict: Refused, Wait: wait})
 	case Broke:
-		p.failed(r)
-		c.maybeRan = true
+		if !c.claim { // what a claim could not be told is no fault of the router that was asked
+			p.failed(r)
+		}
+		c.maybeRan, c.claim = true, false
 		p.again(c, End{Verdict: Failed})
 	}
 	p.pump()
@@ -294,8 +302,14 @@
 func (p *Policy) again(c *Call, e End) {
 	wait := p.backoff(c.tries)
 	switch {
-	case c.fixed, c.maybeRan && !c.safe, c.tries >= p.set.Tries:
+	case c.fixed, c.maybeRan && !c.safe && !c.claim, c.tries >= p.set.Tries:
 	case p.now+wait+p.classes[c.class].floor(p.now, p.set.LeastTime) > c.deadline:
+	case c.claim && !c.claimed:
+		c.claimed = true
+		p.counts.Claims++
+		c.state, c.held = holding, p.now
+		p.rewake(c)
+		return
 	case !p.throttle.steady(p.now) && e.Verdict == Refused: // the storm is not fed
 	case !p.budget.take(p.now):
 		p.counts.OutOfBudget++
--- a/client/policy/routers.go
+++ b/client/policy/routers.go
@@ -479,6 +479,7 @@
 // lostTry takes that a try got no answer that can be read.
 func (p *Policy) lostTry(c *Call, crossing bool) {
 	c.maybeRan = true
+	c.claim = p.set.Claims && !c.safe && !c.fixed
 	if crossing && c.safe && !c.crossed && !c.fixed {
 		c.crossed = true
 		p.counts.Crossings++
--- a/client/policy/settings.go
+++ b/client/policy/settings.go
@@ -34,6 +34,10 @@
 	EjectMost  time.Duration // at most
 	EjectShare float64       // of the routers that may be out of it at a time
 
+	// Claims has an order go to another router where its router was lost: that asks the others what became of it, and
+	// runs it only if it surely never ran. All routers must be set up to keep orders for each other.
+	Claims bool
+
 	ThrottleWindow time.Duration // answers of this time tell whether routers refuse
 	ThrottleLeast  int           // answers before that is judged
 	ThrottleOver   float64       // refused here is what goes beyond this multiple of what is accepted
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -17,6 +17,7 @@
 type Core interface {
 	Post(f func())
 	Permit(a *core.Attempt) (brain.Status, brain.Note)
+	Ready(a *core.Attempt) bool
 	End(a *core.Attempt, e core.End)
 	Dispatched()
 }
@@ -216,6 +217,9 @@
 		cl.core.End(a, core.End{Status: s, Note: n})
 		return
 	}
+	if !cl.core.Ready(a) { // others must know of it first; it is sent anew then
+		return
+	}
 	err := c.nc.WriteNow(appendAsk(nil, a))
 	if netio.Unwritten(err) { // it has not come to the cache, so it can't run
 		c.lost()
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -30,6 +30,7 @@
 }
 
 func (b *bench) Post(f func())                                   { b.posts <- f }
+func (b *bench) Ready(*core.Attempt) bool                        { return true }
 func (b *bench) Permit(*core.Attempt) (brain.Status, brain.Note) { return b.permit, brain.NoNote }
 func (b *bench) End(_ *core.Attempt, e core.End)                 { b.ends <- e }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -150,6 +150,9 @@
 		c.Limits.Longest = max(c.Limits.Longest, k.Deadline)
 	}
 	c.Limits.Finish = finish(c.Limits.Longest)
+	if t := c.Fleet.Takeover; t.On && t.Keep < c.Limits.Longest {
+		o.Object("fleet").Object("takeover").Fail("keep_ms", fmt.Sprintf("is under the longest deadline of a class, %v", c.Limits.Longest))
+	}
 	if err := o.Err(); err != nil {
 		return nil, err
 	}
@@ -299,6 +302,7 @@
 		// A purge binds half a second after it was told, at the earliest.
 		Quiet: 300 * ms, Gather: ms, GatherMost: 100 * ms,
 
+		LetGo:  250 * ms,
 		Linger: 700 * ms,
 
 		LeaveBehind: 400 * ms, LeaveIdle: 600 * ms, LeavePause: 100 * ms, LeaveRefuse: 2 * time.Second, LeaveCut: 3300 * ms,
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -20,6 +20,16 @@
 	State     fleetstate.Settings // Process is set at the start
 	Cold      fleetstate.Terms    // a rate of 0: not shared
 	Retries   fleetstate.Terms    // the same
+	Place     string              // where this router is
+	Takeover  Takeover
+}
+
+// Takeover sets up how orders outlive their router.
+type Takeover struct {
+	On                       bool
+	Strict                   bool
+	Lease, Wait, Claim, Keep time.Duration
+	Records, Body            int
 }
 
 // readFleet reads the block fleet, without which the router talks to no other.
@@ -27,6 +37,10 @@
 	if !o.Has("fleet") {
 		return Fleet{}
 	}
+	if !Talks {
+		o.Fail("fleet", "needs talk, which this program was built without; make build puts one with it at bin/hillknot-talk")
+		return Fleet{}
+	}
 	b := o.Object("fleet")
 	b.Must("listen", "key_file", "size")
 	f := Fleet{On: true, State: fleetstate.Defaults(name, 0, b.Count("size", 1, 1))}
@@ -49,6 +63,10 @@
 			b.Fail("peers", fmt.Sprintf("holds %q, which is no address with a port", p))
 		}
 	}
+	if f.Place = b.Text("place", ""); len(f.Place) > 64 {
+		b.Fail("place", "is over 64 bytes")
+	}
+	f.Takeover = readTakeover(b, f)
 	if err := f.State.Check(); err != nil {
 		key := "size"
 		switch {
@@ -69,6 +87,46 @@
 	return f
 }
 
+// readTakeover reads the block takeover, without which orders end with their router.
+func readTakeover(b fields.Object, f Fleet) Takeover {
+	if !b.Has("takeover") {
+		return Takeover{}
+	}
+	o := b.Object("takeover")
+	const ms = time.Millisecond
+	t := Takeover{On: true, Strict: true, Lease: o.Span("lease_ms", ms, 300*ms), Wait: o.Span("wait_ms", ms, 250*ms),
+		Claim: o.Span("claim_ms", ms, 250*ms), Keep: o.Span("keep_ms", ms, 10*time.Second), Records: o.Count("records", 4096, 16),
+		Body: o.Count("body_bytes", 4<<10, 0)}
+	if o.Has("strict") {
+		t.Strict = o.Flag("strict")
+	}
+	for _, c := range []struct {
+		key         string
+		n           time.Duration
+		least, most time.Duration
+	}{
+		{"lease_ms", t.Lease, 100 * ms, time.Minute}, {"wait_ms", t.Wait, 10 * ms, 10 * time.Second},
+		{"claim_ms", t.Claim, 10 * ms, 10 * time.Second}, {"keep_ms", t.Keep, time.Second, 10 * time.Minute},
+	} {
+		if c.n < c.least || c.n > c.most {
+			o.Fail(c.key, fmt.Sprintf("is not %v to %v", c.least, c.most))
+		}
+	}
+	if t.Records > 1<<20 {
+		o.Fail("records", "is over a million")
+	}
+	if t.Body > 16<<10 {
+		o.Fail("body_bytes", "is over 16384")
+	}
+	if f.State.Guest {
+		b.Fail("takeover", "does not go with guest: every router that takes orders must be one of size")
+	}
+	if f.State.Size < 2 {
+		b.Fail("size", "is 1: with takeover another router has to keep the orders")
+	}
+	return t
+}
+
 // readTerms reads what all routers together may spend. The burst buys each router one at least with half of its part.
 func readTerms(b fields.Object, name string, size int) fleetstate.Terms {
 	if !b.Has(name) {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -37,6 +37,7 @@
 	Quiet            time.Duration // a loop that had no turn for so long may have been stopped
 	Gather           time.Duration // it then looks this often whether the journal is read
 	GatherMost       time.Duration // and waits no longer than this
+	LetGo            time.Duration // how long a refused order waits until no other router can run it
 	Linger           time.Duration // how long a router that is to end still takes requests
 	Finish           time.Duration // and how long it has in all to answer what is open
 
--- /dev/null
+++ b/internal/config/talks.go
@@ -0,0 +1,6 @@
+//go:build talk
+
+package config
+
+// Talks tells whether this program has what routers talk to each other by.
+const Talks = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,7 +46,8 @@
 	Holds          string        // tag of the copy that the client has
 	Body           []byte
 	Write          bool
-	Again          bool // the client has asked before
+	Again          bool   // the client has asked before
+	Resumes        string // the txn of the same request, whose router the client has lost; empty: none
 	// Reply is called once on the core's goroutine, unless the request is withdrawn. It returns what the client was
 	// told in the end: an answer that can't be passed on becomes a failure.
 	Reply func(Answer) Verdict
@@ -102,6 +103,12 @@
 	end     time.Duration
 	attempt *Attempt
 	ran     bool // an attempt may have run
+
+	// Where the loss of routers is guarded against.
+	kept     bool     // another router knows of it
+	claiming bool     // the others are being asked what became of it
+	asking   *Attempt // waits for the right to be written
+	ending   *Answer  // its refusal waits until no other router can run it
 }
 
 // Core is one router's core. All methods but Post, NewID and Run belong to its goroutine.
@@ -124,7 +131,7 @@
 	now      time.Duration
 	events   []brain.Event
 	open     map[brain.RequestID]*request
-	txns     map[string]bool // of the open requests
+	txns     map[string]*request // the open requests
 	members  map[brain.NodeID]*Member
 	queries  map[brain.RequestID]*query
 	timers   timers
@@ -141,6 +148,7 @@
 	dispatches uint64
 	snap       atomic.Pointer[Snapshot]
 	trace      bool
+	rights     Rights                   // nil: orders end with their router
 	shared     *Shared                  // nil: nothing is shared with other routers
 	warm       map[string]time.Duration // by kind: a member that started so long ago is warm
 }
@@ -152,7 +160,7 @@
 		return nil, err
 	}
 	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{}, fresh: map[string]time.Duration{},
-		open: map[brain.RequestID]*request{}, txns: map[string]bool{}, members: map[brain.NodeID]*Member{},
+		open: map[brain.RequestID]*request{}, txns: map[string]*request{}, members: map[brain.NodeID]*Member{},
 		queries: map[brain.RequestID]*query{}, classes: map[string]int{}, maxWait: s.MaxWait}
 	for i, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
@@ -253,6 +261,9 @@
 		c.due(heap.Pop(&c.timers).(timer))
 	}
 	c.settle()
+	if c.rights != nil {
+		c.rights.Flush()
+	}
 	c.publish()
 	if len(c.timers) == 0 {
 		return 0, false
@@ -277,9 +288,7 @@
 		c.send(a)
 	case brain.Cancel:
 		if r := c.open[a.ID]; r != nil && r.attempt != nil && r.attempt.Index == a.Attempt {
-			at := r.attempt
-			c.up.Quit(at)
-			c.End(at, End{Status: brain.Cancelled})
+			c.giveUp(r.attempt, brain.Cancelled)
 		}
 	case brain.Refuse:
 		c.resolved(a.ID, Resolved{Refused: true})
@@ -312,17 +321,29 @@
 	case left <= 0:
 		c.reply(&q, Answer{Verdict: Refused})
 		return
-	case c.txns[q.Txn]: // page caches know a request by this id: two under one could not be told apart
+	case c.txns[q.Txn] != nil: // page caches know a request by this id: two under one could not be told apart
 		c.reply(&q, Answer{Verdict: Failed, Reason: "BadRequest"})
 		return
 	}
 	r := &request{Request: q, id: id, since: c.now, end: c.now + left}
 	c.traceRequest(r)
 	c.open[id] = r
-	c.txns[q.Txn] = true
+	c.txns[q.Txn] = r
 	heap.Push(&c.timers, timer{at: r.end, request: r})
-	c.events = append(c.events, brain.Request{ID: id, Class: q.Class, Object: q.Object, Part: q.Part, Group: q.Group,
-		Left: left, Write: q.Write, Again: q.Again})
+	if q.Resumes != "" && c.unsafe[q.Class] {
+		c.claim(r)
+		return
+	}
+	c.begin(r)
+}
+
+// begin hands a request to the module.
+func (c *Core) begin(r *request) {
+	if !c.keep(r) {
+		return
+	}
+	c.events = append(c.events, brain.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
+		Left: r.end - c.now, Write: r.Write, Again: r.Again})
 }
 
 // Withdraw ends a request whose client no longer waits: nothing is owed, and its attempt is given up.
@@ -342,21 +363,36 @@
 	c.forget(r)
 	c.events = append(c.events, brain.ClientGone{ID: r.id})
 	if a := r.attempt; a != nil {
-		c.up.Quit(a)
-		c.End(a, End{Status: brain.Cancelled})
+		c.giveUp(a, brain.Cancelled)
 	}
+	c.withdrawn(r)
+}
+
+// giveUp ends an attempt that is out. One that waits for the right to be written has surely not run.
+func (c *Core) giveUp(a *Attempt, s brain.Status) {
+	c.up.Quit(a)
+	if a.owner.asking == a {
+		s = brain.Moot
+	}
+	c.End(a, End{Status: s})
 }
 
 // answer gives the final answer. An attempt that is still out is given up first.
 func (c *Core) answer(r *request, a Answer) {
-	if r == nil {
+	if r == nil || r.ending != nil {
 		return
 	}
 	c.forget(r)
 	if at := r.attempt; at != nil {
-		c.up.Quit(at)
-		c.End(at, End{Status: brain.Cancelled})
+		c.giveUp(at, brain.Cancelled)
+	}
+	if c.ended(r, a) {
+		c.conclude(r, a)
 	}
+}
+
+// conclude tells the client.
+func (c *Core) conclude(r *request, a Answer) {
 	c.traceAnswer(r, a.Verdict)
 	c.reply(&r.Request, a)
 }
@@ -422,7 +458,7 @@
 	}
 	a.over = true
 	r := a.owner
-	r.attempt = nil
+	r.attempt, r.asking = nil, nil
 	r.ran = r.ran || !e.Status.NeverRan()
 	c.traceEnd(a, e)
 	if c.shared != nil {
@@ -430,12 +466,12 @@
 	}
 	if e.Status == brain.OK && c.open[r.id] == r {
 		c.forget(r)
-		c.traceAnswer(r, Served)
+		a := Answer{Verdict: Served, Body: e.Body}
 		if e.Unchanged {
-			c.reply(&r.Request, Answer{Verdict: Unchanged})
-		} else {
-			c.reply(&r.Request, Answer{Verdict: Served, Body: e.Body})
+			a = Answer{Verdict: Unchanged}
 		}
+		c.ended(r, a)
+		c.conclude(r, a)
 	}
 	c.outcome(a, e)
 }
@@ -447,10 +483,9 @@
 
 // ---- Timers ----
 
-// timer is due for one of: a token of the module, an attempt's time-out, the end of a request or a query, a beat of
-// what is shared.
+// timer is due for one of: a token of the module, an attempt's time-out, the end of a request or a query, a call.
 type timer struct {
-	beat    bool
+	call    func()
 	at      time.Duration
 	token   uint64
 	query   *query
@@ -474,8 +509,8 @@
 
 func (c *Core) due(t timer) {
 	switch r := t.request; {
-	case t.beat:
-		c.beat()
+	case t.call != nil:
+		t.call()
 	case t.query != nil:
 		c.resolved(t.query.id, Resolved{})
 	case t.attempt != nil:
@@ -496,16 +531,19 @@
 
 func (c *Core) timeOut(a *Attempt) {
 	if !a.over {
-		c.up.Quit(a)
-		c.End(a, End{Status: brain.TimedOut})
+		c.giveUp(a, brain.TimedOut)
 	}
 }
 
 // overdue gives the answer that a silent module did not: no request may go without.
 func (c *Core) overdue(r *request) {
+	if r.ending != nil {
+		c.release(r, false)
+		return
+	}
 	a := Answer{Verdict: Refused}
-	if r.ran && c.unsafe[r.Class] {
-		a = Answer{Verdict: Failed, Reason: "Failed"}
+	if r.claiming || r.ran && c.unsafe[r.Class] {
+		a = failed
 	}
 	c.events = append(c.events, brain.ClientGone{ID: r.id})
 	c.answer(r, a)
--- /dev/null
+++ b/internal/core/rights.go
@@ -0,0 +1,172 @@
+package core
+
+import (
+	"container/heap"
+	"log/slog"
+	"time"
+
+	"hillknot/brain"
+	"hillknot/internal/remedy"
+)
+
+// Rights decides whether an order may be written, where routers keep each other's orders so that these outlive them. Its
+// methods are called on the core's goroutine; none may block, and it reports there by Granted, Denied, Released and Settled.
+type Rights interface {
+	Begin(q *Request, left time.Duration) error               // an order is taken; an error says that it can't be
+	Claim(id brain.RequestID, q *Request, left time.Duration) // what became of the order that a request resumes?
+	Drop(id brain.RequestID)                                  // nobody waits for a claim any more
+	Ask(txn string)                                           // an order is to be written
+	Right(txn string) bool                                    // it may be written now, and is
+	End(txn string, a Answer, ran bool) (wait bool)           // its client is to be told
+	Overdue(txn string)                                       // what End had wait, waits no more
+	Withdraw(txn string, ran bool)                            // its client does not wait
+	Flush()                                                   // what is to be said goes out
+	Figures() []Figure                                        // for operators
+}
+
+// Figure is a number for operators, under a name.
+type Figure struct {
+	Name, Help string
+	Value      uint64
+	Counts     bool // it only grows
+}
+
+var failed = Answer{Verdict: Failed, Reason: "Failed"}
+
+// Guard has orders outlive this router. It is called once, on the core's goroutine.
+func (c *Core) Guard(r Rights) { c.rights = r }
+
+// At has f called in the turn that comes at a time.
+func (c *Core) At(at time.Duration, f func()) { heap.Push(&c.timers, timer{at: at, call: f}) }
+
+// Now is the time of this turn, and Clock that of this moment.
+func (c *Core) Now() time.Duration   { return c.now }
+func (c *Core) Clock() time.Duration { return c.clock() }
+
+// keep has an order kept by another router, and tells whether it goes on. One that nobody keeps is refused at once.
+func (c *Core) keep(r *request) bool {
+	if c.rights == nil || !c.unsafe[r.Class] {
+		return true
+	}
+	if err := c.rights.Begin(&r.Request, r.end-c.now); err != nil {
+		slog.Warn("order refused", "txn", r.Txn, remedy.Attr(err))
+		c.answer(r, Answer{Verdict: Refused, Wait: c.maxWait})
+		return false
+	}
+	r.kept = true
+	return true
+}
+
+// claim asks what became of an order whose router the client has lost. To run it anew without an answer could run it
+// twice.
+func (c *Core) claim(r *request) {
+	if c.rights == nil {
+		c.answer(r, failed)
+		return
+	}
+	r.claiming = true
+	c.rights.Claim(r.id, &r.Request, r.end-c.now)
+}
+
+// Settled takes what came of a claim: with run, the order is this router's to run, under the txn that it had; else its
+// answer is known.
+func (c *Core) Settled(id brain.RequestID, run bool, a Answer) {
+	r := c.open[id]
+	if r == nil || !r.claiming {
+		return
+	}
+	r.claiming = false
+	if !run {
+		c.answer(r, a)
+		return
+	}
+	if c.txns[r.Resumes] != nil { // it is open here already, which the claim would have found
+		c.answer(r, failed)
+		return
+	}
+	delete(c.txns, r.Txn)
+	r.Txn, r.Again = r.Resumes, true
+	c.txns[r.Txn] = r
+	c.begin(r)
+}
+
+// Ready tells whether an attempt may be written as far as other routers have to know of it first. Where they have, it is
+// sent anew once they do.
+func (c *Core) Ready(a *Attempt) bool {
+	r := a.owner
+	if !r.kept || c.rights.Right(r.Txn) {
+		return true
+	}
+	r.asking = a
+	c.rights.Ask(r.Txn)
+	return false
+}
+
+// Granted tells that an order may be written now.
+func (c *Core) Granted(txn string) {
+	if r := c.txns[txn]; r != nil && r.asking != nil {
+		a := r.asking
+		r.asking = nil
+		c.up.Send(a)
+	}
+}
+
+// Denied tells that an order may not be written any more, and what its client is to be told.
+func (c *Core) Denied(txn string, never bool, err error) {
+	r := c.txns[txn]
+	if r == nil {
+		return
+	}
+	slog.Warn("order given up", "txn", txn, remedy.Attr(err))
+	c.events = append(c.events, brain.ClientGone{ID: r.id})
+	r.kept = false // it is over there already
+	a := failed
+	if never && !r.ran {
+		a = Answer{Verdict: Refused, Wait: c.maxWait}
+	}
+	c.answer(r, a)
+}
+
+// ended takes that an order's client is to be told now, and tells whether it is.
+func (c *Core) ended(r *request, a Answer) bool {
+	if !r.kept || !c.rights.End(r.Txn, a, r.ran) {
+		return true
+	}
+	r.ending = &a
+	c.open[r.id], c.txns[r.Txn] = r, r
+	c.At(c.now+c.lim.LetGo, func() {
+		if c.open[r.id] == r {
+			c.release(r, false)
+		}
+	})
+	return false
+}
+
+// Released tells that no other router runs an order that was refused, or where it is not sure, that one may.
+func (c *Core) Released(txn string, sure bool) {
+	if r := c.txns[txn]; r != nil && r.ending != nil {
+		c.release(r, sure)
+	}
+}
+
+func (c *Core) release(r *request, sure bool) {
+	a := *r.ending
+	if !sure {
+		a = failed
+		c.rights.Overdue(r.Txn)
+	}
+	c.forget(r)
+	c.conclude(r, a)
+}
+
+// withdrawn takes that nobody waits for a request any more.
+func (c *Core) withdrawn(r *request) {
+	switch {
+	case r.claiming:
+		c.rights.Drop(r.id)
+	case r.ending != nil:
+		c.rights.Overdue(r.Txn)
+	case r.kept:
+		c.rights.Withdraw(r.Txn, r.ran)
+	}
+}
--- a/internal/core/shared.go
+++ b/internal/core/shared.go
@@ -74,7 +74,7 @@
 // beat is due every Settings.Beat.
 func (c *Core) beat() {
 	s := c.shared
-	heap.Push(&c.timers, timer{at: c.now + s.talk.State.Beat, beat: true})
+	heap.Push(&c.timers, timer{at: c.now + s.talk.State.Beat, call: c.beat})
 	s.state.Live(s.peers.Alive())
 	c.brain.Health(func(n brain.NodeID, fails int, well time.Duration) {
 		if m := c.members[n]; m != nil {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -36,6 +36,7 @@
 	Open       int           // requests taken and not ended
 	Targets    int           // page caches listed
 	Avoided    int           // of these, those that the module avoids
+	Hands      []Figure      // of orders that outlive routers; nil: they don't
 	Fleet      *FleetFigures // what is shared with other routers, as of the latest beat; nil: nothing
 }
 
@@ -53,6 +54,9 @@
 	if c.shared != nil {
 		s.Fleet = c.shared.last
 	}
+	if c.rights != nil {
+		s.Hands = c.rights.Figures()
+	}
 	c.snap.Store(s)
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -27,6 +27,8 @@
 	"hillknot/internal/fleetchoice"
 	"hillknot/internal/fleetkeys"
 	"hillknot/internal/fleetstate"
+	"hillknot/internal/parcel"
+	"hillknot/internal/takeover"
 )
 
 // The times of the gossip. A router that dies is out of the list within some two seconds.
@@ -39,6 +41,7 @@
 	callWait    = time.Second
 	packetMost  = 1200
 	queueMost   = 1024
+	largeMost   = 32      // connections at a time for what is too long for a packet
 	wholeMost   = 1 << 20 // bytes of all that is known, as it is read from others
 )
 
@@ -48,8 +51,10 @@
 	guest  bool // it has no part of its own in what is shared
 	cfg    config.Fleet
 	heard  func([]fleetstate.Message)
+	parcel func([]byte) // a packet of parcels has come; nil: there are none
 	ring   *memberlist.Keyring
-	letter chan fleetstate.Letter
+	letter chan post
+	large  chan struct{} // places for what goes over a connection of its own
 	whole  atomic.Pointer[[]byte]
 	list   atomic.Pointer[memberlist.Memberlist]
 	queue  memberlist.TransmitLimitedQueue
@@ -58,13 +63,20 @@
 	keyMu  sync.Mutex
 }
 
-// New reads the keys. What others say is handed to heard, on goroutines of the gossip.
-func New(name string, cfg config.Fleet, heard func([]fleetstate.Message)) (*Members, error) {
+// post is something to be sent: to one router, or to all where to is empty.
+type post struct {
+	to, key string
+	text    []byte
+}
+
+// New reads the keys. What others say is handed to heard, and packets of parcels to parcel, if it is set, on goroutines
+// of the gossip.
+func New(name string, cfg config.Fleet, heard func([]fleetstate.Message), parcel func([]byte)) (*Members, error) {
 	keys, err := fleetkeys.Read(cfg.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet keys %s: %w", cfg.KeyFile, err)
 	}
-	m := &Members{name: name, guest: cfg.State.Guest, cfg: cfg, heard: heard, letter: make(chan fleetstate.Letter, queueMost)}
+	m := &Members{name: name, guest: cfg.State.Guest, cfg: cfg, heard: heard, parcel: parcel, letter: make(chan post, queueMost), large: make(chan struct{}, largeMost)}
 	if m.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
 		return nil, fmt.Errorf("fleet keys %s: %w", cfg.KeyFile, err)
 	}
@@ -195,31 +207,61 @@
 // Send puts letters on the way. It never blocks.
 func (m *Members) Send(letters []fleetstate.Letter) {
 	for _, l := range letters {
-		select {
-		case m.letter <- l:
-		default:
-			m.lost.Add(1)
-		}
+		m.put(post{l.To, l.Key, l.Msg.Append(nil)})
+	}
+}
+
+// Carry puts packets of parcels on the way. It never blocks.
+func (m *Members) Carry(packets []parcel.Packet) {
+	for _, p := range packets {
+		m.put(post{to: p.To, text: append([]byte{parcelLane}, p.Data...)})
+	}
+}
+
+// parcelLane begins a packet of parcels: no other message does.
+const parcelLane = 0xf0
+
+func (m *Members) put(p post) {
+	select {
+	case m.letter <- p:
+	default:
+		m.lost.Add(1)
 	}
 }
 
 // Lost is how many letters were dropped because too many waited.
 func (m *Members) Lost() uint64 { return m.lost.Load() }
 
-func (m *Members) post(l fleetstate.Letter) {
-	text := l.Msg.Append(nil)
-	if l.To == "" {
-		m.queue.QueueBroadcast(broadcast{l.Key, text})
+func (m *Members) post(p post) {
+	if p.to == "" {
+		m.queue.QueueBroadcast(broadcast{p.key, p.text})
 		return
 	}
 	list := m.list.Load()
 	for _, n := range list.Members() {
-		if n.Name == l.To {
-			if err := list.SendBestEffort(n, text); err != nil {
-				slog.Debug("not sent to a router", "to", l.To, "err", err)
-			}
+		if n.Name != p.to {
+			continue
+		}
+		if len(p.text) <= packetMost {
+			sent(p.to, list.SendBestEffort(n, p.text))
 			return
 		}
+		select { // it may take a while to connect, and holds up nothing else
+		case m.large <- struct{}{}:
+			go func() {
+				sent(p.to, list.SendReliable(n, p.text))
+				<-m.large
+			}()
+		default:
+			m.lost.Add(1)
+		}
+		return
+	}
+}
+
+func sent(to string, err error) {
+	if err != nil {
+		slog.Debug("not sent to a router", "to", to, "err", err)
 	}
 }
 
@@ -250,10 +292,11 @@
 			continue
 		}
 		others = append(others, n.Name)
-		if string(n.Meta) != guestMeta {
+		d := parseMeta(n.Meta)
+		if d.size != guestMeta {
 			owners++
 		}
-		if size, err := strconv.Atoi(string(n.Meta)); err == nil && size <= fleetstate.SizeMost {
+		if size, err := strconv.Atoi(d.size); err == nil && size <= fleetstate.SizeMost {
 			told = max(told, size)
 		}
 	}
@@ -264,6 +307,21 @@
 	return others, max(owners, told)
 }
 
+// Others are those alive that keep orders for others, in the order of their names.
+func (m *Members) Others() (out []takeover.Other) {
+	list := m.list.Load()
+	if list == nil {
+		return nil
+	}
+	for _, n := range list.Members() {
+		if d := parseMeta(n.Meta); n.Name != m.name && d.keeps {
+			out = append(out, takeover.Other{Name: n.Name, Place: d.place})
+		}
+	}
+	slices.SortFunc(out, func(a, b takeover.Other) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 func (m *Members) count() int {
 	if list := m.list.Load(); list != nil {
 		return list.NumMembers()
@@ -273,6 +331,12 @@
 
 // take hands on all messages of a text, up to the first that can't be read.
 func (m *Members) take(text []byte) {
+	if len(text) > 0 && text[0] == parcelLane {
+		if m.parcel != nil {
+			m.parcel(bytes.Clone(text[1:])) // the buffer is the gossip's
+		}
+		return
+	}
 	var msgs []fleetstate.Message
 	for len(text) > 0 {
 		msg, rest, err := fleetstate.ParseMessage(text)
@@ -293,10 +357,27 @@
 type delegate struct{ m *Members }
 
 func (d delegate) NodeMeta(int) []byte {
-	if d.m.guest {
-		return []byte(guestMeta)
+	size, keeps := guestMeta, ""
+	if !d.m.guest {
+		size = strconv.Itoa(d.m.cfg.State.Size)
 	}
-	return strconv.AppendInt(nil, int64(d.m.cfg.State.Size), 10)
+	if d.m.cfg.Takeover.On {
+		keeps = "keeps"
+	}
+	return []byte(size + ";" + keeps + ";" + d.m.cfg.Place)
+}
+
+// told is what a router tells of itself with its name.
+type told struct {
+	size  string // of the fleet, or guestMeta
+	keeps bool   // orders, for others
+	place string
+}
+
+func parseMeta(b []byte) (t told) {
+	size, rest, _ := strings.Cut(string(b), ";")
+	keeps, place, _ := strings.Cut(rest, ";")
+	return told{size, keeps == "keeps", place}
 }
 
 func (d delegate) NotifyMsg(b []byte) { d.m.take(b) }
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -133,6 +133,10 @@
 	part, partOK := number(f.Nth, 63)
 	group, groupOK := number(f.Batch, 8)
 	_, txnOK := hexID(f.Txn)
+	if len(f.Resumes) > 0 {
+		_, lostOK := hexID(f.Resumes)
+		txnOK = txnOK && lostOK
+	}
 	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) {
 		return q, rpcwire.BadRequest
 	}
@@ -146,7 +150,7 @@
 	}
 	return core.Request{Txn: string(f.Txn), Item: string(f.Item), Nth: nth, Class: string(m.Method), Object: object,
 		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write,
-		Again: string(f.Second) == "1"}, ""
+		Again: string(f.Second) == "1", Resumes: string(f.Resumes)}, ""
 }
 
 // number reads a whole number; an absent one is 0.
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -151,6 +151,13 @@
 	if s.Fleet != nil {
 		b = appendFleet(b, s.Fleet)
 	}
+	for _, f := range s.Hands {
+		kind := "gauge"
+		if f.Counts {
+			kind = "counter"
+		}
+		b = fmt.Appendf(appendKind(b, f.Name, f.Help, kind), "app_%s %d\n", f.Name, f.Value)
+	}
 	return b
 }
 
--- /dev/null
+++ b/internal/outlive/outlive.go
@@ -0,0 +1,248 @@
+// Package outlive puts work that outlives its router into the core: it carries out what takeover decides, and hands the
+// core's orders, and the packets of other routers, to it. Only programs built with the tag talk have it.
+package outlive
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"hillknot/brain"
+	"hillknot/internal/core"
+	"hillknot/internal/parcel"
+	"hillknot/internal/remedy"
+	"hillknot/internal/takeover"
+)
+
+// Carrier carries packets between routers. No method may block.
+type Carrier interface {
+	Carry([]parcel.Packet)
+	Others() []takeover.Other // alive, and of those that keep orders, in the order of their names
+}
+
+// Step, if it is set, is called at each step of an order: for tests that kill the process there.
+var Step func(what, txn string)
+
+// beatEvery is how often what has run out is looked for.
+const beatEvery = 20 * time.Millisecond
+
+// figuresEvery is how often figures are made anew.
+const figuresEvery = 200 * time.Millisecond
+
+// Hands implements core.Rights. All its methods belong to the core's goroutine.
+type Hands struct {
+	core    *core.Core
+	table   *takeover.Table
+	carrier Carrier
+	writes  map[string]bool // by class
+	trace   bool
+	figures []core.Figure
+	fresh   time.Duration // when figures are to be made
+}
+
+// New returns the hands of a process that has just started, with the classes of its requests. With trace the log has a
+// line for each step of an order.
+func New(c *core.Core, set takeover.Settings, classes []brain.Class, carrier Carrier, trace bool) (*Hands, error) {
+	t, err := takeover.New(set)
+	if err != nil {
+		return nil, err
+	}
+	h := &Hands{core: c, table: t, carrier: carrier, writes: map[string]bool{}, trace: trace}
+	for _, k := range classes {
+		h.writes[k.Name] = k.Write
+	}
+	return h, nil
+}
+
+// Guard begins to keep and take over orders.
+func (h *Hands) Guard() {
+	h.core.Guard(h)
+	h.beat()
+}
+
+func (h *Hands) beat() {
+	now := h.core.Now()
+	h.table.Live(now, h.carrier.Others())
+	h.table.Beat(now)
+	h.settle()
+	h.core.At(now+beatEvery, h.beat)
+	if now >= h.fresh {
+		h.fresh = now + figuresEvery
+		h.figures = figures(h.table.Figures())
+	}
+}
+
+// Take takes a packet of another router.
+func (h *Hands) Take(data []byte) {
+	h.table.Take(h.core.Now(), data)
+	h.settle()
+}
+
+// Flush implements core.Rights.
+func (h *Hands) Flush() {
+	out := h.table.Out(h.core.Now())
+	h.settle() // what could not be told of ends there
+	if len(out) > 0 {
+		h.carrier.Carry(out)
+	}
+}
+
+// settle carries out what the table decides, until it decides nothing more.
+func (h *Hands) settle() {
+	for acts := h.table.Actions(); len(acts) > 0; acts = h.table.Actions() {
+		h.steps() // before what follows from them
+		for _, a := range acts {
+			h.act(a)
+		}
+	}
+	h.steps()
+}
+
+// steps tells the log, and a test, the steps of orders.
+func (h *Hands) steps() {
+	for _, e := range h.table.Events() {
+		if h.trace {
+			slog.Debug("order", "step", e.What, "txn", e.Txn, "peer", e.Peer)
+		}
+		if Step != nil {
+			Step(e.What, e.Txn)
+		}
+	}
+}
+
+func (h *Hands) act(a takeover.Action) {
+	switch a.Op {
+	case takeover.Go:
+		h.core.Granted(a.Txn)
+	case takeover.Stop:
+		h.core.Denied(a.Txn, a.Outcome.Kind == takeover.NeverRan, a.Err)
+	case takeover.Release:
+		if a.Err != nil {
+			slog.Warn("order not withdrawn", "txn", a.Txn, remedy.Attr(a.Err))
+		}
+		h.core.Released(a.Txn, a.Err == nil)
+	case takeover.Run:
+		h.run(a.Order)
+	case takeover.Begin:
+		h.core.Settled(brain.RequestID(a.ID), true, core.Answer{})
+	case takeover.Settle:
+		if a.Err != nil {
+			slog.Warn("claim without an answer", "txn", a.Txn, remedy.Attr(a.Err))
+		}
+		h.core.Settled(brain.RequestID(a.ID), false, answer(a.Outcome))
+	}
+}
+
+// run runs an order of a router that is lost. Nobody waits for its answer but those who claim it.
+func (h *Hands) run(o takeover.Order) {
+	object, _ := strconv.ParseUint(o.Item, 16, 64) // as the router that took it read it
+	slog.Info("order of a lost router is run here", "txn", o.Txn, "class", o.Class)
+	h.core.Submit(h.core.NewID(), core.Request{Txn: o.Txn, Item: o.Item, Nth: strconv.FormatUint(o.Part, 10), Class: o.Class,
+		Object: object, Part: o.Part, Group: o.Group, Limit: o.Left, Body: o.Body, Write: h.writes[o.Class],
+		Reply: func(a core.Answer) core.Verdict {
+			h.table.Abandon(h.core.Now(), o.Txn) // where it was not taken at all
+			return a.Verdict
+		}})
+}
+
+// order is a request as its keeper knows it.
+func order(q *core.Request, txn string, left time.Duration) takeover.Order {
+	o := takeover.Order{Txn: txn, Class: q.Class, Item: q.Item, Part: q.Part, Group: q.Group, Left: left, Body: q.Body}
+	sum := sha256.New()
+	for _, s := range [][]byte{[]byte(q.Class), []byte(q.Item), q.Body} {
+		sum.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
+		sum.Write(s)
+	}
+	sum.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, q.Part), q.Group))
+	sum.Sum(o.Digest[:0])
+	return o
+}
+
+// Begin implements core.Rights.
+func (h *Hands) Begin(q *core.Request, left time.Duration) error {
+	return h.table.Begin(h.core.Now(), order(q, q.Txn, left))
+}
+
+// Claim implements core.Rights.
+func (h *Hands) Claim(id brain.RequestID, q *core.Request, left time.Duration) {
+	h.table.Claim(h.core.Now(), uint64(id), order(q, q.Resumes, left))
+	h.settle()
+}
+
+// Drop implements core.Rights.
+func (h *Hands) Drop(id brain.RequestID) { h.table.Drop(uint64(id)) }
+
+// Ask implements core.Rights.
+func (h *Hands) Ask(txn string) {
+	h.table.Ask(h.core.Now(), txn)
+	h.settle()
+}
+
+// Right implements core.Rights.
+func (h *Hands) Right(txn string) bool {
+	yes := h.table.Right(h.core.Clock(), txn)
+	h.steps()
+	return yes
+}
+
+// End implements core.Rights.
+func (h *Hands) End(txn string, a core.Answer, ran bool) (wait bool) {
+	wait = h.table.End(h.core.Now(), txn, outcome(a, ran))
+	h.Flush() // the outcome is on its way before the client has it
+	return wait
+}
+
+// Overdue implements core.Rights.
+func (h *Hands) Overdue(txn string) { h.table.Overdue(h.core.Now(), txn) }
+
+// Withdraw implements core.Rights.
+func (h *Hands) Withdraw(txn string, ran bool) { h.table.Withdraw(h.core.Now(), txn, ran) }
+
+// Figures implements core.Rights.
+func (h *Hands) Figures() []core.Figure { return h.figures }
+
+// outcome is what an answer tells of its order.
+func outcome(a core.Answer, ran bool) takeover.Outcome {
+	switch {
+	case a.Verdict == core.Served:
+		return takeover.Outcome{Kind: takeover.Served, Body: a.Body}
+	case a.Verdict == core.Refused && !ran:
+		return takeover.Outcome{Kind: takeover.NeverRan, Wait: a.Wait}
+	case a.Verdict == core.Failed:
+		return takeover.Outcome{Kind: takeover.Failed}
+	}
+	return takeover.Outcome{Kind: takeover.MayHaveRun}
+}
+
+// answer is what a client is told of an outcome.
+func answer(o takeover.Outcome) core.Answer {
+	switch o.Kind {
+	case takeover.Served:
+		return core.Answer{Verdict: core.Served, Body: o.Body}
+	case takeover.NeverRan:
+		return core.Answer{Verdict: core.Refused, Wait: o.Wait}
+	}
+	return core.Answer{Verdict: core.Failed, Reason: "Failed"}
+}
+
+func figures(f takeover.Figures) []core.Figure {
+	return []core.Figure{
+		{Name: "hand_orders", Help: "Orders taken and kept by another router.", Value: f.Orders, Counts: true},
+		{Name: "hand_unkept", Help: "Orders refused, as no router kept them.", Value: f.Unkept, Counts: true},
+		{Name: "hand_rights_lost", Help: "Orders given up, as another router may have them.", Value: f.Lost, Counts: true},
+		{Name: "hand_records", Help: "Records taken for other routers.", Value: f.Records, Counts: true},
+		{Name: "hand_full", Help: "Records turned away for want of room.", Value: f.Full, Counts: true},
+		{Name: "hand_owners_lost", Help: "Routers whose orders this one took over.", Value: f.Fallen, Counts: true},
+		{Name: "hand_taken_over", Help: "Orders of lost routers.", Value: f.Taken, Counts: true},
+		{Name: "hand_ran", Help: "Orders of lost routers run here without their client.", Value: f.Ran, Counts: true},
+		{Name: "hand_claims", Help: "Claims of clients that lost a router.", Value: f.Claims, Counts: true},
+		{Name: "hand_claims_answered", Help: "Claims answered with what became of the order.", Value: f.Answered, Counts: true},
+		{Name: "hand_given", Help: "Orders of lost routers given to a claimant.", Value: f.Runs, Counts: true},
+		{Name: "hand_claims_unknown", Help: "Claims of orders that surely never went out.", Value: f.Unknown, Counts: true},
+		{Name: "hand_claims_may_have_run", Help: "Claims told that the order may have run.", Value: f.May, Counts: true},
+		{Name: "hand_kept", Help: "Records held for other routers.", Value: uint64(f.Kept)},
+		{Name: "hand_waiting", Help: "Parcels under way to the router to which most are.", Value: uint64(f.Waiting)},
+	}
+}
--- a/internal/rpcwire/client.go
+++ b/internal/rpcwire/client.go
@@ -153,15 +153,16 @@
 
 // Request is what a client's call carries.
 type Request struct {
-	Method string
-	Txn    uint64
-	Limit  int64 // milliseconds
-	Second bool  // this is a client's retry
-	Item   uint64
-	Nth    uint64
-	Batch  uint8
-	Got    string // tag of the copy that the client holds; empty: none
-	Body   []byte
+	Method  string
+	Txn     uint64
+	Limit   int64 // milliseconds
+	Second  bool  // this is a client's retry
+	Item    uint64
+	Nth     uint64
+	Batch   uint8
+	Resumes uint64 // the txn of the same request, whose router was lost; 0: none
+	Got     string // tag of the copy that the client holds; empty: none
+	Body    []byte
 }
 
 // AppendCall appends a client's request.
@@ -170,6 +171,9 @@
 	if q.Second {
 		fields++
 	}
+	if q.Resumes != 0 {
+		fields++
+	}
 	if q.Got != "" {
 		fields++
 	}
@@ -183,6 +187,9 @@
 	if q.Second {
 		b = appendText(appendText(b, "second"), "1")
 	}
+	if q.Resumes != 0 {
+		b = appendHex(appendText(b, "resumes"), q.Resumes)
+	}
 	if q.Got != "" {
 		b = appendText(appendText(b, "got"), q.Got)
 	}
--- a/internal/rpcwire/codec.go
+++ b/internal/rpcwire/codec.go
@@ -36,7 +36,7 @@
 }
 
 // Fields are the known fields of a call and, the last two, of an answer.
-type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, Second, OK304, Later []byte }
+type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, Second, Resumes, OK304, Later []byte }
 
 func (f *Fields) slot(name []byte) *[]byte {
 	switch string(name) {
@@ -54,6 +54,8 @@
 		return &f.Got
 	case "second":
 		return &f.Second
+	case "resumes":
+		return &f.Resumes
 	case "ok304":
 		return &f.OK304
 	case "later":
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -206,7 +206,7 @@
 // ownerLost takes over what a router leaves that has said nothing for a lease.
 func (t *Table) ownerLost(now time.Duration, who Peer, ow *owner) {
 	ow.lost = ow.session
-	t.Totals.Owners++
+	t.Totals.Fallen++
 	t.log("owner lost", "", who.Name)
 	for _, txn := range slices.Sorted(maps.Keys(ow.open)) {
 		r := ow.open[txn]
--- a/internal/takeover/sim_test.go
+++ b/internal/takeover/sim_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"hillknot/internal/timeline"
 )
 
 var seeds = flag.Int("seeds", 60, "seeds of the simulated fleets")
@@ -24,18 +26,19 @@
 // fleet is routers, each with a little core, on a network in virtual time that loses, delays, repeats and cuts, and clients
 // that claim at another router what they have lost.
 type fleet struct {
-	rnd     *rand.Rand
-	now     time.Duration
-	routers []*router
-	mail    []mail
-	cut     map[[2]int]bool
-	loss    float64
-	made    uint64
-	orders  []*order
-	open    []*order // that may still be told or run
-	later   []later
-	trace   func(format string, args ...any)
-	calm    bool // no process is stopped
+	rnd      *rand.Rand
+	now      time.Duration
+	routers  []*router
+	mail     []mail
+	cut      map[[2]int]bool
+	loss     float64
+	made     uint64
+	orders   []*order
+	open     []*order // that may still be told or run
+	later    []later
+	note     func(timeline.Event)
+	calm     bool // no process is stopped in the middle of things
+	scripted bool // orders are asked for and ended by a script
 }
 
 type router struct {
@@ -95,7 +98,7 @@
 }
 
 func newFleet(seed uint64, n int) *fleet {
-	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 11)), cut: map[[2]int]bool{}, trace: func(string, ...any) {}}
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 11)), cut: map[[2]int]bool{}, note: func(timeline.Event) {}}
 	for i := range n {
 		f.routers = append(f.routers, &router{i: i, name: fmt.Sprintf("r%d", i), place: fmt.Sprint("p", i%3)})
 	}
@@ -118,6 +121,10 @@
 	r.jobs, r.claims = map[string]*job{}, map[uint64]*job{}
 }
 
+func (f *fleet) struck(r *router, what string) {
+	f.note(timeline.Event{Node: r.name, At: f.now, What: what, Fault: true})
+}
+
 func (f *fleet) after(r *router, d time.Duration, do func()) {
 	f.later = append(f.later, later{f.now + d, r, r.process, do})
 }
@@ -173,7 +180,9 @@
 	}
 	f.open = slices.DeleteFunc(f.open, func(o *order) bool { return f.now > o.until+6*time.Second })
 	for _, o := range f.open {
-		f.client(o)
+		if !f.scripted {
+			f.client(o)
+		}
 	}
 }
 
@@ -199,7 +208,7 @@
 		}
 	}
 	for _, e := range r.table.Events() {
-		f.trace("%s %s %s %s", r.name, e.What, e.Txn, e.Peer)
+		f.note(timeline.Event{Node: r.name, At: f.now, What: e.What, Of: e.Txn, Peer: e.Peer})
 	}
 }
 
@@ -251,6 +260,9 @@
 		return
 	}
 	r.jobs[j.txn] = j
+	if f.scripted {
+		return
+	}
 	wait := time.Duration(0)
 	if f.rnd.IntN(2) == 0 { // it waits for a connection
 		wait = time.Duration(f.rnd.Int64N(int64(400 * ms)))
@@ -292,13 +304,15 @@
 	for _, o := range f.open {
 		if o.txn == j.txn {
 			o.ran++
-			f.trace("%s RUNS %s", r.name, j.txn)
+			f.note(timeline.Event{Node: r.name, At: f.now, What: "RUNS", Of: j.txn})
 			if o.mayAt > 0 && f.now > o.mayAt {
 				o.told = append(o.told, 99) // it begins after it was told as may have run
 			}
 		}
 	}
-	j.ran = true
+	if j.ran = true; f.scripted {
+		return
+	}
 	f.after(r, time.Duration(f.rnd.Int64N(int64(120*ms))), func() {
 		if r.jobs[j.txn] == j {
 			f.end(r, j, Outcome{Kind: Served, Body: []byte("done")})
@@ -326,7 +340,7 @@
 // told hands the client its answer, if its connection is still there.
 func (f *fleet) told(j *job, k Kind) {
 	if j.o != nil && j.conn == j.o.conn && !j.o.done {
-		f.trace("client told %v of %s", k, j.txn)
+		f.note(timeline.Event{Node: "client", At: f.now, What: "told " + k.String(), Of: j.txn})
 		j.o.done, j.o.told = true, append(j.o.told, k)
 	}
 }
@@ -336,7 +350,7 @@
 func (f *fleet) order(at *router, left time.Duration) {
 	o := &order{txn: fmt.Sprintf("t%d", len(f.orders)), until: f.now + left, at: at, process: at.process}
 	f.orders, f.open = append(f.orders, o), append(f.open, o)
-	f.trace("client orders %s at %s", o.txn, at.name)
+	f.note(timeline.Event{Node: "client", At: f.now, What: "orders", Of: o.txn, Peer: at.name})
 	f.take(at, &job{o: o, txn: o.txn, until: at.clock(f.now) + left}, ask1(o.txn, left))
 }
 
@@ -370,7 +384,7 @@
 	id := f.made
 	j := &job{o: o, txn: o.txn, until: to.clock(f.now) + o.until - f.now, conn: o.conn}
 	to.claims[id] = j
-	f.trace("client claims %s at %s", o.txn, to.name)
+	f.note(timeline.Event{Node: "client", At: f.now, What: "claims", Of: o.txn, Peer: to.name})
 	to.table.Claim(to.clock(f.now), id, ask1(o.txn, o.until-f.now))
 	f.settle(to)
 }
@@ -393,16 +407,16 @@
 		f.loss = f.rnd.Float64() * 0.4
 	case 3:
 		r.stopped = f.now + time.Duration(f.rnd.Int64N(int64(4*time.Second)))
-		f.trace("%s stopped", r.name)
+		f.struck(r, "stopped")
 	case 4, 5:
 		if !r.down {
 			r.down = true
-			f.trace("%s killed", r.name)
+			f.struck(r, "killed")
 			back := time.Duration(f.rnd.Int64N(int64(3 * time.Second)))
 			if f.rnd.IntN(3) == 0 { // at once
 				back = 5 * ms
 			}
-			f.later = append(f.later, later{f.now + back, &router{}, 0, func() { f.start(r); f.trace("%s back", r.name) }})
+			f.later = append(f.later, later{f.now + back, &router{}, 0, func() { f.start(r) }})
 		}
 	default:
 		clear(f.cut)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -37,7 +37,7 @@
 
 // Defaults returns settings for a fleet of so many routers, whose clients wait for so long at most.
 func Defaults(self string, process uint64, size int, longest time.Duration) Settings {
-	return Settings{Self: self, Process: process, Size: size, Strict: true, Lease: time.Second, Drift: 0.02, Wait: 250 * time.Millisecond,
+	return Settings{Self: self, Process: process, Size: size, Strict: true, Lease: 300 * time.Millisecond, Drift: 0.02, Wait: 250 * time.Millisecond,
 		Claim: 250 * time.Millisecond, Keep: 10 * time.Second, Longest: longest, Records: 4096, Body: 4 << 10}
 }
 
@@ -172,7 +172,7 @@
 type Totals struct {
 	Orders, Unkept, Lost   uint64 // taken; refused without a keeper; whose right was lost
 	Records, Full          uint64 // kept for others; turned away
-	Owners, Taken, Ran     uint64 // lost; their records; of these run here
+	Fallen, Taken, Ran     uint64 // owners lost; their records; of these run here
 	Claims, Answered, Runs uint64 // asked; answered with an outcome; given to run
 	Unknown, May           uint64 // run as nobody knew them; told as may have run
 }
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,53 @@
+package timeline
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var some = []Event{
+	{Node: "n1", At: 10 * ms, What: "may said", Of: "t7", Peer: "n2"},
+	{Node: "n2", At: 9 * ms, What: "may kept", Of: "t7", Peer: "n1"}, // by a clock that is behind
+	{Node: "n1", At: 12 * ms, What: "killed", Fault: true},
+	{Node: "n2", At: 400 * ms, What: "owner lost", Peer: "n1"},
+	{Node: "n2", At: 400 * ms, What: "taken", Of: "t8"},
+}
+
+// Effects are drawn behind their causes, each node in its column, faults marked.
+func TestDraw(t *testing.T) {
+	const want = `      ms | n1             | n2
+     0.0 | may said t7 n2 |
+    -1.0 |                | may kept t7 n1
+     2.0 | *** killed *** |
+   390.0 |                | owner lost n1
+`
+	if got := Sort(some).About("t7").Draw("n1", "n2"); got != want {
+		t.Errorf("drawn:\n%s\nwant:\n%s", got, want)
+	}
+}
+
+// A rule that holds is kept, and what breaks it is shown up to there.
+func TestCheck(t *testing.T) {
+	l := Sort(some)
+	if err := l.Check(Rule{After: "n1 killed", Then: []string{"n2 owner lost n1", "n2 taken t8"}, Never: []string{"n1 *"}}); err != nil {
+		t.Error(err)
+	}
+	for _, r := range []Rule{{After: "n3 *"}, {Then: []string{"n1 killed", "* kept *"}}, {After: "n1 killed", Never: []string{"* taken *"}}} {
+		if err := l.Check(r); err == nil || !strings.Contains(err.Error(), "n1") {
+			t.Errorf("%+v: %v", r, err)
+		}
+	}
+}
+
+// Lines of a log that are no events are passed over.
+func TestRead(t *testing.T) {
+	const log = "not JSON\n" + `{"time":"2026-12-02T00:00:00.5Z","level":"DEBUG","msg":"order","step":"taken","txn":"t1","peer":""}` + "\n" +
+		`{"time":"2026-12-02T00:00:00.6Z","level":"INFO","msg":"members"}` + "\n"
+	events, err := Read("n1", "order", strings.NewReader(log))
+	if err != nil || len(events) != 1 || events[0].String() != "n1 taken t1" {
+		t.Errorf("%v, %v", events, err)
+	}
+}
