Kill routers between any two steps of an order, and through eleven faults, and count what clients were told

Need: that an order outlives its router has to be shown with several processes. hillknot-lab outlive (make measure-outlive) runs clients of the library against routers that keep each other's orders; the stand-in page caches and the clients count. TestKillBetweenSteps kills a router at each step by a hook that only the test's program sets, claims the order elsewhere, and holds the routers' own timelines against rules of order; TestOutlive is the short form of the laboratory.

Found by the first timelines, and mended: - An order told as taken to a keeper that was down itself was stuck with it ("taken said ... lab-0" with lab-0 killed, then "ended never ran" 2.5 s later). Telling "taken" gave the keeper the right to give it away, acknowledged or not. Now it has that only once the owner, having heard that it is held, leaves it there; before, the owner goes to the next keeper. - A claim to a router that had been restarted since it was heard of last was given up (parcel.OtherProcess), and the client was told "may have run" after 250 ms. It is asked again at once. - Whether nothing was forgotten was counted from the longest deadline of any class, not of those that may not be repeated.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run hillknot.
 
-.PHONY: build test lint run measure-clients measure-together bench
+.PHONY: build test lint run measure-clients measure-together measure-outlive bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/... && go build -tags talk -o bin/hillknot-talk ./cmd/hillknot
@@ -27,6 +27,10 @@
 measure-together: build
 	bin/hillknot-lab together
 
+# The tables of docs/takeover.md, in some twelve minutes. Nothing else should run beside it.
+measure-outlive: build
+	bin/hillknot-lab outlive
+
 # The operators' bench, quick, on both deployments in turn: the standing fleet test on the first, then the second's
 # days on real sockets. It needs their kit, which this repository does not hold: make bench KIT=DIR WHY="...".
 bench:
--- a/cmd/hillknot-lab/main.go
+++ b/cmd/hillknot-lab/main.go
@@ -36,7 +36,19 @@
 	together.Flags().IntVar(&routers, "routers", 7, "how many")
 	together.Flags().DurationVar(&each, "each", 8*time.Second, "how long each fault lasts")
 	together.Flags().Uint64Var(&seed, "seed", 1, "of the faults and the load")
-	root.AddCommand(clients, together)
+	var kills int
+	outlive := &cobra.Command{
+		Use: "outlive", Short: "Kill, stop and cut off routers that keep each other's orders", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return lab.Outlive(talker, routers, kills, each, seed, cmd.OutOrStdout())
+		},
+	}
+	outlive.Flags().StringVar(&talker, "router", "bin/hillknot-talk", "the router `PROGRAM`, built with talk")
+	outlive.Flags().IntVar(&routers, "routers", 7, "how many")
+	outlive.Flags().IntVar(&kills, "kills", 1000, "how many, one after the other")
+	outlive.Flags().DurationVar(&each, "each", 8*time.Second, "how long each fault lasts")
+	outlive.Flags().Uint64Var(&seed, "seed", 1, "of the faults and the load")
+	root.AddCommand(clients, together, outlive)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/hillknot/outlive_test.go
@@ -0,0 +1,110 @@
+//go:build talk
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hillknot/internal/outlive"
+	"hillknot/internal/timeline"
+	"hillknot/lab"
+)
+
+// killAt names a step of an order at which the router's process is killed, so many milliseconds after it, and one, or none,
+// at which it first stands still for a moment: "STEP,MS,STEP".
+const killAt = "HILLKNOT_TEST_KILL_AT"
+
+// init arms the kill in a process that plays a router.
+func init() {
+	p := strings.Split(os.Getenv(killAt), ",")
+	if len(p) != 3 {
+		return
+	}
+	ms, _ := strconv.Atoi(p[1]) // written by the test below
+	outlive.Step = func(what, txn string) {
+		switch what {
+		case p[2]:
+			time.Sleep(5 * time.Millisecond)
+		case p[0]:
+			time.Sleep(time.Duration(ms) * time.Millisecond)
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL) // it can't fail for the own process
+		}
+	}
+}
+
+// A router that is killed between any two steps of an order leaves it to another, which runs it once, or tells what became
+// of it, or that it may have run; and nothing else.
+func TestKillBetweenSteps(t *testing.T) {
+	o, err := lab.NewOutlivers(program(t), 4, true, "debug", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	time.Sleep(3500 * time.Millisecond) // all are up for longer than an order's client waits
+	for _, c := range []struct {
+		step  string
+		after int    // milliseconds
+		pause string // the step at which it stands still
+		told  string
+		ran   int
+		rule  timeline.Rule // of what the others do
+	}{
+		{"taken", 0, "", "served", 1, timeline.Rule{Then: []string{"* claimed T", "* begun T", "* may held T *", "* sent T"}}},
+		{"taken held", 0, "taken said", "served", 1, timeline.Rule{After: "V killed", Then: []string{"* owner lost V", "* orphaned T V", "* begun T", "* sent T"}}},
+		{"may said", 5, "", "failed", 0, timeline.Rule{After: "V killed", Then: []string{"* owner lost V", "* kept as may have run T"}, Never: []string{"* sent T", "* begun T"}}},
+		{"may held", 0, "", "failed", 0, timeline.Rule{After: "V killed", Then: []string{"* kept as may have run T"}, Never: []string{"* sent T", "* begun T"}}},
+		{"ended served", 0, "", "failed", 1, timeline.Rule{After: "V sent T", Then: []string{"* kept as may have run T"}, Never: []string{"* sent T"}}},
+		{"ended said", 5, "", "served", 1, timeline.Rule{After: "V sent T", Then: []string{"* kept as served T", "* settled served T"}, Never: []string{"* sent T"}}},
+	} {
+		t.Run(strings.ReplaceAll(c.step, " ", "-"), func(t *testing.T) {
+			victim := len(o.Routers) - 1 // all others stay up
+			k, err := o.KillAt(victim, killAt+"="+fmt.Sprintf("%s,%d,%s", c.step, c.after, c.pause))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if k.Told != c.told || k.Ran != c.ran {
+				t.Errorf("the client was told %q, and it ran %d times; want %q, %d", k.Told, k.Ran, c.told, c.ran)
+			}
+			r := c.rule
+			name := strings.NewReplacer("V", fmt.Sprintf("lab-%d", victim), " T", " "+k.Txn)
+			for _, list := range [][]string{r.Then, r.Never} {
+				for i := range list {
+					list[i] = name.Replace(list[i])
+				}
+			}
+			r.After = name.Replace(r.After)
+			if err := k.Line.Check(r); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Orders outlive their routers, once, through kills, stops, cuts and restarts.
+func TestOutlive(t *testing.T) {
+	o, err := lab.NewOutlivers(program(t), 5, true, "", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	rows, err := o.OutliveFaults(1500*time.Millisecond, 12, []string{"two killed at once", "stopped for longer than a lease", "two cut off from the rest",
+		"one not heard", "a third of the packets lost, others late", "drawn from the seed"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	row, err := o.Kills(6, 600*time.Millisecond, 12)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range append(rows, row) {
+		if r.Broken() || r.Orders < 20 || r.Served == 0 || r.OpenReadsAnswered*20 < r.OpenReads*19 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/cmd/hillknot/talk.go
+++ b/cmd/hillknot/talk.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"time"
 
+	"hillknot/brain"
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/fleetstate"
@@ -43,7 +46,13 @@
 
 func takeoverSettings(cfg *config.Config) takeover.Settings {
 	f := cfg.Fleet
-	set := takeover.Defaults(cfg.Name, f.State.Process, f.State.Size, cfg.Limits.Longest)
+	longest := time.Duration(0)
+	for _, k := range cfg.Settings.Classes {
+		if k.Effect != brain.Safe {
+			longest = max(longest, cmp.Or(k.Deadline, cfg.Limits.Longest))
+		}
+	}
+	set := takeover.Defaults(cfg.Name, f.State.Process, f.State.Size, cmp.Or(longest, time.Second))
 	t := f.Takeover
 	set.Place, set.Strict, set.Lease, set.Wait, set.Claim, set.Keep = f.Place, t.Strict, t.Lease, t.Wait, t.Claim, t.Keep
 	set.Records, set.Body = t.Records, t.Body
--- a/internal/outlive/outlive.go
+++ b/internal/outlive/outlive.go
@@ -82,11 +82,11 @@
 
 // Flush implements core.Rights.
 func (h *Hands) Flush() {
-	out := h.table.Out(h.core.Now())
-	h.settle() // what could not be told of ends there
-	if len(out) > 0 {
+	h.steps()
+	if out := h.table.Out(h.core.Now()); len(out) > 0 {
 		h.carrier.Carry(out)
 	}
+	h.settle() // what could not be told of ends there
 }
 
 // settle carries out what the table decides, until it decides nothing more.
--- a/internal/takeover/claim.go
+++ b/internal/takeover/claim.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -131,8 +132,11 @@
 		return
 	}
 	delete(c.out, d.To)
-	if d.Err == nil {
+	switch {
+	case d.Err == nil:
 		c.words[d.To] = w
+	case errors.As(d.Err, new(parcel.OtherProcess)): // it has been restarted since it was heard of last
+		t.askOne(now, a.claim, c, d.To)
 	}
 	t.weigh(now, a.claim, c)
 }
@@ -182,10 +186,14 @@
 		if s := c.words[o.Name].Say; s == sayMay || s == sayUnknown || c.out[o.Name] {
 			continue
 		}
-		m := message{Kind: kindClaim, Txn: c.order.Txn, Claim: id, Order: Order{Txn: c.order.Txn, Digest: c.order.Digest}}
-		if _, err := t.send(now, o.Name, m, min(c.until, now+4*t.set.Claim), ask{claim: id, txn: c.order.Txn}); err == nil {
-			c.out[o.Name] = true
-		}
+		t.askOne(now, id, c, o.Name)
+	}
+}
+
+func (t *Table) askOne(now time.Duration, id uint64, c *claim, to string) {
+	m := message{Kind: kindClaim, Txn: c.order.Txn, Claim: id, Order: Order{Txn: c.order.Txn, Digest: c.order.Digest}}
+	if _, err := t.send(now, to, m, min(c.until, now+4*t.set.Claim), ask{claim: id, txn: c.order.Txn}); err == nil {
+		c.out[to] = true
 	}
 }
 
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -12,11 +12,13 @@
 type state uint8
 
 const (
-	taken   state = iota
-	may           // its owner may send it: nobody else ever may
-	orphan        // taken, and its owner is lost: it can be given to one
-	given         // to a claimant; blank: nothing was known of it, and nothing is kept but for the claimant
-	running       // here
+	taken   state = iota // its owner may have left it to another keeper by now
+	left                 // it is this keeper's to give away, if its owner is lost
+	may                  // its owner may send it: nobody else ever may
+	loose                // it was taken, and its owner is lost: this keeper never lets it go out
+	orphan               // it was left, and its owner is lost: it can be given to one
+	given                // to a claimant; blank: as far as this keeper goes it never went out, and does for the claimant alone
+	running              // here
 	ended
 )
 
@@ -78,10 +80,7 @@
 
 // toldOf takes a record of an order that is open.
 func (t *Table) toldOf(now time.Duration, from Peer, ow *owner, m message) say {
-	st := taken
-	if m.Step == stepMay {
-		st = may
-	}
+	st := map[step]state{stepTaken: taken, stepLeft: left, stepMay: may}[m.Step]
 	r := t.records[m.Txn]
 	switch {
 	case r == nil:
@@ -93,10 +92,10 @@
 			return sayFull
 		}
 		t.Totals.Records++
-	case r.owner == from && (r.state == taken || r.state == may):
-		if st == may && r.state == taken {
-			r.state, r.session = may, m.Session
-			t.log("may kept", m.Txn, from.Name)
+	case r.owner == from && r.state <= may:
+		if st > r.state {
+			r.state, r.session = st, m.Session
+			t.log(m.Step.String()+" kept", m.Txn, from.Name)
 		}
 		return sayHeld
 	case r.state == given && r.to.Peer == from && m.Order.Txn == m.Txn: // its new owner
@@ -132,7 +131,7 @@
 		return sayHeld
 	case m.Session == 0: // it was given, begun there, and given back by mistake
 		return sayHeld
-	case r.owner != from || r.state != taken && r.state != may:
+	case r.owner != from || r.state > may:
 		return sayGone
 	}
 	delete(ow.open, m.Txn)
@@ -215,7 +214,12 @@
 			t.finish(now, r, Outcome{Kind: MayHaveRun})
 			continue
 		}
-		r.state, r.owner = orphan, Peer{} // whatever its owner says of it from now on is too late
+		if r.state == taken {
+			r.state = loose
+		} else {
+			r.state = orphan
+		}
+		r.owner = Peer{} // whatever its owner says of it from now on is too late
 		t.log("orphaned", txn, who.Name)
 		if wait := r.wait; len(wait) > 0 {
 			r.wait = wait[1:]
@@ -229,7 +233,7 @@
 
 // runHere runs an order without its client, where all of it is here and there is time for it.
 func (t *Table) runHere(now time.Duration, r *record) {
-	if !r.order.Whole || now >= r.due {
+	if r.state != orphan || !r.order.Whole || now >= r.due {
 		return // a claim may bring what is lacking, or it never runs
 	}
 	r.state = running
@@ -244,8 +248,11 @@
 // the very word.
 func (t *Table) recordWord(now time.Duration, r *record, w waiter) word {
 	switch r.state {
-	case taken, may, running:
+	case taken, left, may, running:
 		return t.later(&r.wait, w)
+	case loose:
+		r.state, r.blank, r.to = given, true, w
+		return word{Say: sayUnknown, Sure: t.sure(now)}
 	case given:
 		switch {
 		case r.to != w:
--- a/internal/takeover/message.go
+++ b/internal/takeover/message.go
@@ -17,7 +17,8 @@
 
 const (
 	stepNone  step = iota
-	stepTaken      // it waits; who keeps it may give it to another if its owner is lost
+	stepTaken      // it waits; nobody but its owner may run it yet
+	stepLeft       // it still waits, and the owner goes to no other keeper: who keeps it may give it away if the owner is lost
 	stepMay        // it may be sent from now on
 	stepEnded
 )
--- a/internal/takeover/owner.go
+++ b/internal/takeover/owner.go
@@ -28,7 +28,7 @@
 	said   step          // what it was told
 	held   step          // what it has said that it holds
 	ever   bool          // some keeper was told of it
-	taken  bool          // a keeper was told of it as taken, and may give it to another
+	left   bool          // a keeper was told that it may give it to another
 	bare   bool          // it goes out without a keeper
 	gone   bool          // the caller was told that it may send it
 	went   bool          // it may have been sent
@@ -138,7 +138,7 @@
 		o.want = stepEnded
 		t.dirty = append(t.dirty, txn)
 	}
-	o.letGo = out.Kind == NeverRan && o.taken
+	o.letGo = out.Kind == NeverRan && o.left
 	if !o.letGo {
 		t.spread(now, txn, o)
 	}
@@ -226,14 +226,14 @@
 		m.Order = o.order
 		m.Order.Left = max(o.until-now, 0)
 	}
-	if o.want == stepTaken || o.taken { // only this keeper's word can tell what became of it
+	if o.want == stepLeft || o.left { // only this keeper's word can tell what became of it
 		until = max(until, o.until)
 	}
 	if _, err := t.send(now, o.k.name, m, until, ask{txn: txn, step: o.want, session: o.k.session}); err != nil {
 		t.failed(now, txn, o, err)
 		return
 	}
-	o.ever, o.said, o.taken = true, o.want, o.taken || o.want == stepTaken
+	o.ever, o.said, o.left = true, o.want, o.left || o.want == stepLeft
 	t.log(o.want.String()+" said", txn, o.k.name)
 	o.k.renew = now + t.set.Lease/renewals
 }
@@ -261,9 +261,14 @@
 	case d.Err == nil && w.Say == sayHeld:
 		o.held = max(o.held, a.step)
 		t.log(a.step.String()+" held", a.txn, d.To)
-		if o.held == stepMay && o.end == nil && !o.gone {
+		switch {
+		case o.end != nil:
+		case o.held == stepMay && !o.gone:
 			o.gone = true
 			t.do(Action{Op: Go, Txn: a.txn})
+		case o.held == stepTaken && o.want == stepTaken: // it waits for longer than that took
+			o.want = stepLeft
+			t.dirty = append(t.dirty, a.txn)
 		}
 	case d.Err == nil && (w.Say == sayLost || w.Say == sayGone):
 		if !o.went && o.end == nil {
@@ -273,9 +278,6 @@
 		err := d.Err
 		if err == nil {
 			err = TableFull{d.To}
-			if a.step == stepTaken { // it has not taken it, so can't give it away
-				o.taken = false
-			}
 		}
 		t.failed(now, a.txn, o, err)
 	}
@@ -328,7 +330,7 @@
 		}
 	}
 	for _, txn := range slices.Sorted(maps.Keys(t.mine)) {
-		if o := t.mine[txn]; o.k == k && o.end == nil && o.held == stepMay && !o.taken {
+		if o := t.mine[txn]; o.k == k && o.end == nil && !o.left {
 			t.move(o)
 			t.dirty = append(t.dirty, txn)
 		}
@@ -361,7 +363,7 @@
 func (t *Table) failed(now time.Duration, txn string, o *own, err error) {
 	switch {
 	case o.end != nil || o.went:
-	case o.taken: // it may have it all the same, and nobody else can tell
+	case o.left: // it may have it all the same, and nobody else can tell
 		t.stop(now, txn, o, Outcome{Kind: MayHaveRun}, NotWithdrawn{o.k.name})
 	case now >= o.until:
 		t.stop(now, txn, o, Outcome{Kind: NeverRan}, err)
@@ -436,4 +438,6 @@
 	return [...]string{"may have run", "served", "failed", "never ran"}[min(k, NeverRan)]
 }
 
-func (s step) String() string { return [...]string{"none", "taken", "may", "ended"}[min(s, stepEnded)] }
+func (s step) String() string {
+	return [...]string{"none", "taken", "left", "may", "ended"}[min(s, stepEnded)]
+}
--- a/internal/takeover/script_test.go
+++ b/internal/takeover/script_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,8 +146,8 @@
 		s.pass(50 * ms)
 		r := s.routers[0]
 		r.table.Ask(r.clock(s.now), o.txn)
-		for len(s.line) > 0 && s.line[len(s.line)-1].What != "may kept" { // the word is on its way
-			s.step()
+		for s.now < 6*time.Second && !slices.ContainsFunc(s.line, func(e timeline.Event) bool { return e.What == "may kept" }) {
+			s.step() // the word is on its way then
 		}
 		s.stop(r, time.Second)
 		_, other := s.keeper()
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -3,6 +3,7 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -34,6 +35,9 @@
 	bin  string
 	conf string
 
+	Env []string // of the process, beside this one's
+	Log string   // the least level that it logs; empty: errors
+
 	operator string
 	cmd      *exec.Cmd
 	dir      string
@@ -107,6 +111,7 @@
 	Cold     int                                          // of its capacity, a new page cache may be sent this multiple
 	Answer   func(cache int, a standin.Ask) standin.Reply // nil: Backend answers
 	Operator func(i int, ip string) string                // the operator's file of a router; nil: there is none
+	Log      string                                       // the least level that routers log; empty: errors
 }
 
 // NewFleet starts so many routers of the program bin. With later, they tell refused clients how long to stay away.
@@ -173,7 +178,7 @@
 	// An address of its own to come back to: no other's connection can be given that port meanwhile.
 	n := rand.Uint32()
 	r := &Router{IP: fmt.Sprintf("127.%d.%d.%d", 64+n>>16&63, n>>8&255, 1+n%254), bin: bin, dir: filepath.Join(f.dir, fmt.Sprint(i))}
-	r.Addr = r.IP + ":7001"
+	r.Addr, r.Log = r.IP+":7001", f.set.Log
 	r.conf = filepath.Join(r.dir, "config.json")
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	class := func(name, repeat string, aim, deadline time.Duration, worth int) map[string]any {
@@ -212,12 +217,12 @@
 
 // Start starts the process and waits until it accepts.
 func (r *Router) Start() error {
-	args := []string{"-config", r.conf, "--log-level", "error"}
+	args := []string{"-config", r.conf, "--log-level", cmp.Or(r.Log, "error"), "--log-format", "json"}
 	if r.operator != "" {
 		args = append(args, "--operator", r.operator)
 	}
 	r.cmd = exec.Command(r.bin, args...)
-	r.cmd.Env = append(os.Environ(), "TMPDIR="+r.dir)
+	r.cmd.Env = append(append(os.Environ(), "TMPDIR="+r.dir), r.Env...)
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/lab/together.go
+++ b/lab/together.go
@@ -128,32 +128,55 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 63, byte(os.Getpid()>>8&63 + 1), byte(1 + i)}), uint16(20000+os.Getpid()%20000))
 }
 
+// newTalkers makes the network and the keys of a fleet.
+func newTalkers(seed uint64) (*Talkers, error) {
+	dir, err := os.MkdirTemp("", "hillknot-keys-")
+	if err != nil {
+		return nil, err
+	}
+	t := &Talkers{Net: faultnet.New(seed), seed: seed, keys: filepath.Join(dir, "keys")}
+	if err := t.SetKeys(newKey()); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
 // NewTalkers starts so many routers that share what they may spend, or, without talk, as many that share nothing. Spare
 // is how many new page caches can be started.
 func NewTalkers(bin string, routers, spare int, talk bool, seed uint64) (_ *Talkers, err error) {
-	t := &Talkers{Net: faultnet.New(seed), seed: seed}
-	state := seed
-	t.led = &ledger{ran: map[string]bool{}, runs: map[string]int{}, spare: 5, now: math.MinInt32, sick: -1, draw: func() float64 {
-		state = state*6364136223846793005 + 1442695040888963407
-		return float64(state>>11) / (1 << 53)
-	}}
-	dir, err := os.MkdirTemp("", "hillknot-keys-")
+	t, err := newTalkers(seed)
 	if err != nil {
 		return nil, err
 	}
-	t.keys = filepath.Join(dir, "keys")
 	defer func() {
 		if err != nil {
 			t.Close()
 		}
 	}()
-	if err := t.SetKeys(newKey()); err != nil {
-		return nil, err
-	}
+	state := seed
+	t.led = &ledger{ran: map[string]bool{}, runs: map[string]int{}, spare: 5, now: math.MinInt32, sick: -1, draw: func() float64 {
+		state = state*6364136223846793005 + 1442695040888963407
+		return float64(state>>11) / (1 << 53)
+	}}
 	set := Setup{Routers: routers, Later: true, Caches: 4, Spare: spare, Beside: routers, Cold: 1000, Answer: t.led.answer}
+	shares := ""
+	if talk {
+		shares = fmt.Sprintf("  cold {\n    rate  = %g\n    burst = %g\n  }\n  retries {\n    rate  = %g\n    burst = %g\n  }\n",
+			coldRate, max(coldBurst, 2*float64(routers)), retryRate, max(retryBurst, 2*float64(routers)))
+	}
+	if err := t.start(bin, set, shares); err != nil || !talk {
+		return t, err
+	}
+	time.Sleep(3 * time.Second) // no loan of before can run
+	return t, t.met()
+}
+
+// start starts the fleet, whose routers talk where there is something to put into the block fleet of their operator's file.
+func (t *Talkers) start(bin string, set Setup, blocks string) (err error) {
 	set.Operator = func(i int, ip string) string {
 		var peers []string
-		for o := range routers {
+		for o := range set.Routers {
 			if o != i {
 				peers = append(peers, fmt.Sprintf("%q", doorOf(o)))
 			}
@@ -162,35 +185,15 @@
 		if err := t.Net.Add(doorOf(i), to); err != nil {
 			return "# " + err.Error() // without a door it talks to nobody, which the checks find
 		}
-		if !talk {
-			return fmt.Sprintf("ops = \"%s:7055\"\n", ip)
+		text := fmt.Sprintf("ops = \"%s:7055\"\n", ip)
+		if blocks == "" {
+			return text
 		}
-		return fmt.Sprintf(`ops = "%s:7055"
-fleet {
-  listen    = %q
-  advertise = %q
-  peers     = [%s]
-  key_file  = %q
-  size      = %d
-  cold {
-    rate  = %g
-    burst = %g
-  }
-  retries {
-    rate  = %g
-    burst = %g
-  }
-}
-`, ip, to, doorOf(i), strings.Join(peers, ", "), t.keys, routers, coldRate, max(coldBurst, 2*float64(routers)), retryRate, max(retryBurst, 2*float64(routers)))
-	}
-	if t.Fleet, err = StartFleet(bin, set); err != nil {
-		return nil, err
-	}
-	if !talk {
-		return t, nil
+		return text + fmt.Sprintf("fleet {\n  listen    = %q\n  advertise = %q\n  peers     = [%s]\n  key_file  = %q\n  size      = %d\n%s}\n",
+			to, doorOf(i), strings.Join(peers, ", "), t.keys, set.Routers, blocks)
 	}
-	time.Sleep(3 * time.Second) // no loan of before can run
-	return t, t.met()
+	t.Fleet, err = StartFleet(bin, set)
+	return err
 }
 
 // met waits until every router sees every other: where they share nothing, no bound on what they share says anything.
