--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -32,6 +32,10 @@
 #     rate  = 40                            # a second
 #     burst = 28
 #   }
+#   place     = "rack-1"                    # orders are kept in another place, if there is one
+#   takeover {                              # orders that outlive their router (docs/takeover.md)
+#     strict = true
+#   }
 #   retries {                               # repeats by all of them of what may have run
 #     rate  = 20
 #     burst = 28
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -377,5 +377,5 @@
 	return most
 }
 
-// Errors holds one of each type of this package.
-var Errors = []remedy.Error{Full{}, TooLong{}, Unheld{}, OtherProcess{}}
+// Errors holds an example of each type of this package, as docs/errors.md shows it.
+var Errors = []remedy.Error{Full{"r2"}, TooLong{30000, 20480}, Unheld{"r2"}, OtherProcess{"r2"}}
--- a/internal/takeover/errors.go
+++ b/internal/takeover/errors.go
@@ -65,5 +65,5 @@
 	return "Have the client look up what it ordered before it orders again; its router and that one's keeper were lost together, or it was being sent."
 }
 
-// Errors holds one of each type of this package.
-var Errors = []remedy.Error{KeeperUnreachable{}, TableFull{}, RightLost{}, NotWithdrawn{}, MayRun{}}
+// Errors holds an example of each type of this package, as docs/errors.md shows it.
+var Errors = []remedy.Error{KeeperUnreachable{}, TableFull{"r2"}, RightLost{"r2"}, NotWithdrawn{"r2"}, MayRun{"it was being sent when its router was lost"}}
