Tell a router's present process by its answer to an open question, not by its packets

Cause: parcel took the sender of any packet with an unknown process number for the present one, and banned the one before. After the receiver's own restart a late packet of a process that had ended came first or last at random, and could have the live one banned for good. Ruled out: the ledger (it was written), the sequence (the same), loss (none by then). At fault: Take's renew on any packet.

Change: a question with a number is open until it is answered, and only its answer says which process is there. TestOnce of parcel ends with a parcel that has to come.

--- /dev/null
+++ b/internal/credit/book.go
@@ -0,0 +1,504 @@
+package credit
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hillknot/internal/parcel"
+)
+
+// Entry is a line of the ledger: a key, and its value, or nil where the line is gone.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
+// Book is one router's part of all balances. It is not safe for concurrent use.
+type Book struct {
+	set      Settings
+	post     *parcel.Post
+	accounts map[string]*account
+	topups   map[string]applied
+	list     []Topup // as read last
+	gifts    map[string]*gift
+	got      map[string]uint64 // by ledger: the latest gift of it that was taken
+	names    map[string]string // ledgers of other routers
+	meta     meta
+	asked    map[uint64]asked
+	births   map[string]bool // others that know no other ledger under this name
+	live     []string
+	known    map[string]*theirs
+	turn     int
+	told     time.Duration
+	stopped  error // this ledger spends nothing: NameTaken holds back top-ups alone
+
+	dirty  map[string]any // to be written
+	flying bool
+	after  []func(now time.Duration) // once all that is dirty is written
+	then   []func(now time.Duration) // once what is being written is
+	failed error
+	Totals Totals
+}
+
+// Totals count what has happened since the start, in millionths of a credit where they are amounts.
+type Totals struct {
+	Charged, Returned, Given, Taken int64
+	Out, Paced, Moving              uint64 // refused
+}
+
+// meta is what a ledger says of itself.
+type meta struct {
+	_      struct{} `cbor:",toarray"`
+	Ledger string
+	Self   string
+	Born   bool // all others have said that they know no other ledger under this name
+}
+
+// account is what this router holds of one. Rights and Drawn are the ledger's.
+type account struct {
+	name string
+	line accountLine
+	wait int64 // of Rights: not written yet, so not to be spent
+	free int64 // drawn, and not reserved
+	held int64 // reserved
+	draw int64 // being drawn
+
+	rate    float64 // spent a second, of late
+	spent   int64   // since the latest beat
+	level   Level
+	bucket  float64 // of the pace
+	at      time.Duration
+	denied  bool // something was, since the latest beat
+	begged  time.Duration
+	charged int64
+}
+
+type accountLine struct {
+	_      struct{} `cbor:",toarray"`
+	Rights int64    // to be drawn or given away; under 0: taken back after it was spent
+	Drawn  int64    // ever, less what was brought back
+}
+
+// applied is a top-up of which this router has had its part.
+type applied struct {
+	_     struct{} `cbor:",toarray"`
+	Print [32]byte
+	Part  int64
+}
+
+// gift is rights that are on their way to a router, one after the other.
+type gift struct {
+	_       struct{} `cbor:",toarray"`
+	Seq     uint64
+	Account string
+	Amount  int64 // 0: none is on its way
+	to      string
+	written bool
+	parcel  uint64
+}
+
+// New returns the book of a process that has just started, with what its ledger holds.
+func New(set Settings, entries []Entry) (*Book, error) {
+	if err := set.Check(); err != nil {
+		return nil, fmt.Errorf("credit: %w", err)
+	}
+	b := &Book{set: set, post: parcel.New(parcel.Defaults(set.Self, set.Process)), accounts: map[string]*account{}, topups: map[string]applied{},
+		gifts: map[string]*gift{}, got: map[string]uint64{}, names: map[string]string{}, asked: map[uint64]asked{}, births: map[string]bool{},
+		known: map[string]*theirs{}, dirty: map[string]any{}, meta: meta{Ledger: set.Ledger, Self: set.Self}}
+	for _, e := range entries {
+		if err := b.load(e); err != nil {
+			return nil, fmt.Errorf("credit: ledger line %q: %w", e.Key, err)
+		}
+	}
+	if b.meta.Ledger != set.Ledger || b.meta.Self != set.Self {
+		return nil, fmt.Errorf("credit: the ledger is %q of %q, not %q of %q", b.meta.Ledger, b.meta.Self, set.Ledger, set.Self)
+	}
+	b.dirty["meta"] = b.meta
+	return b, nil
+}
+
+func (b *Book) load(e Entry) error {
+	kind, name, _ := strings.Cut(e.Key, "/")
+	switch kind {
+	case "meta":
+		return cbor.Unmarshal(e.Value, &b.meta)
+	case "account":
+		a := b.account(name)
+		return cbor.Unmarshal(e.Value, &a.line)
+	case "topup":
+		var t applied
+		err := cbor.Unmarshal(e.Value, &t)
+		b.topups[name] = t
+		return err
+	case "gift":
+		g := &gift{to: name, written: true}
+		b.gifts[name] = g
+		return cbor.Unmarshal(e.Value, g)
+	case "got":
+		var n uint64
+		err := cbor.Unmarshal(e.Value, &n)
+		b.got[name] = n
+		return err
+	case "name":
+		var s string
+		err := cbor.Unmarshal(e.Value, &s)
+		b.names[name] = s
+		return err
+	}
+	return fmt.Errorf("no such kind of line")
+}
+
+func (b *Book) account(name string) *account {
+	a := b.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		b.accounts[name] = a
+	}
+	return a
+}
+
+// ---- The ledger ----
+
+// change has lines written, and something done once they are.
+func (b *Book) change(after func(now time.Duration), keys ...string) {
+	for _, key := range keys {
+		kind, name, _ := strings.Cut(key, "/")
+		switch kind {
+		case "meta":
+			b.dirty[key] = b.meta
+		case "account":
+			b.dirty[key] = b.accounts[name].line
+		case "topup":
+			b.dirty[key] = b.topups[name]
+		case "gift":
+			b.dirty[key] = *b.gifts[name]
+		case "got":
+			b.dirty[key] = b.got[name]
+		case "name":
+			b.dirty[key] = b.names[name]
+		}
+	}
+	if after != nil {
+		b.after = append(b.after, after)
+	}
+}
+
+// onceWritten has something done once all that was changed so far is written.
+func (b *Book) onceWritten(f func(now time.Duration)) {
+	switch {
+	case len(b.dirty) > 0:
+		b.after = append(b.after, f)
+	case b.flying:
+		b.then = append(b.then, f)
+	default:
+		f(0)
+	}
+}
+
+// Write returns the lines that are to be written now, all of them or none; nil where there are none, or some are being
+// written. Written is called when that is done.
+func (b *Book) Write() (lines []Entry) {
+	if b.flying || len(b.dirty) == 0 {
+		return nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.dirty)) {
+		value, err := cbor.Marshal(b.dirty[key])
+		if err != nil { // these types can't fail
+			continue
+		}
+		lines = append(lines, Entry{key, value})
+	}
+	b.flying, b.then, b.after = true, append(b.then, b.after...), nil
+	clear(b.dirty)
+	return lines
+}
+
+// Written tells that the lines of the latest Write are on the disk, or why they may not be. What was taken from them stays
+// taken; what they were to bring counts once they are written after all.
+func (b *Book) Written(now time.Duration, lines []Entry, err error) {
+	b.flying, b.failed = false, err
+	if err != nil {
+		b.failed = Unwritten{err.Error()}
+		for _, l := range lines { // as they are by now
+			b.change(nil, l.Key)
+		}
+		return
+	}
+	then := b.then
+	b.then = nil
+	for _, f := range then {
+		f(now)
+	}
+}
+
+// Failed is why the ledger is not written, if it is not.
+func (b *Book) Failed() error { return b.failed }
+
+// Stopped is why this router counts no top-ups, or spends nothing, if that is so.
+func (b *Book) Stopped() error { return b.stopped }
+
+// ---- Top-ups ----
+
+// Fund takes the file of top-ups, as a whole or not at all. What was counted before is not counted again.
+func (b *Book) Fund(now time.Duration, list []Topup) error {
+	seen, sums := map[string]bool{}, map[string]int64{}
+	for _, t := range list {
+		if err := t.check(); err != nil {
+			return err
+		}
+		if seen[t.ID] {
+			return ListRefused{t.ID, "it stands there twice"}
+		}
+		if seen[t.ID] = true; len(sums) > b.set.Accounts {
+			return ListRefused{t.ID, "there are too many accounts"}
+		}
+		if sums[t.Account] += t.Amount; sums[t.Account] > Most || sums[t.Account] < -Most {
+			return ListRefused{t.ID, "the account's top-ups add up to over a trillion"}
+		}
+		if was, ok := b.topups[t.ID]; ok && was.Print != t.print() {
+			return ListRefused{t.ID, "it was counted before with another account, amount or split"}
+		}
+	}
+	b.list = slices.Clone(list)
+	b.count(now)
+	return nil
+}
+
+// count takes this router's parts of the top-ups that it has not had yet. It does so only once it is sure that no other
+// ledger has had them under its name.
+func (b *Book) count(now time.Duration) {
+	for _, t := range b.list {
+		a := b.account(t.Account) // known from now on, wherever its rights are
+		if _, ok := b.topups[t.ID]; ok || !b.meta.Born || b.stopped != nil {
+			continue
+		}
+		part := t.share(b.set.Self)
+		if part < 0 { // what is taken back is taken from what is free, too
+			b.bringBack(a, 0)
+		}
+		b.topups[t.ID] = applied{Print: t.print(), Part: part}
+		b.add(a, part, "topup/"+t.ID)
+	}
+}
+
+// add brings rights into the ledger; they are to be spent once that is written. Rights that are taken are gone at once.
+func (b *Book) add(a *account, n int64, with ...string) {
+	a.line.Rights += n
+	if n > 0 {
+		a.wait += n
+	}
+	b.change(func(time.Duration) { a.wait -= max(n, 0) }, append(with, "account/"+a.name)...)
+}
+
+// ---- Requests ----
+
+// Ticket is what is reserved for a request.
+type Ticket struct {
+	Account string
+	price   Price // as it was when the request came
+	amount  int64
+}
+
+// Reserve sets aside what a request may cost at most. An error says why it can't be taken: it never ran.
+func (b *Book) Reserve(now time.Duration, name, class string, bytesMost int) (Ticket, error) {
+	a := b.accounts[name]
+	if a == nil {
+		return Ticket{}, NoAccount{name}
+	}
+	price := b.set.Prices[class]
+	n := price.Of(bytesMost)
+	switch {
+	case n == 0:
+		return Ticket{Account: name, price: price}, nil
+	case a.free < n:
+		a.denied = true
+		b.draw(a, n)
+		return Ticket{}, b.lacking(now, a, n)
+	case a.level == Low && !b.paced(now, a, price, n):
+		b.Totals.Paced++
+		a.denied = true
+		return Ticket{}, Paced{name, b.set.Beat}
+	}
+	a.free, a.held = a.free-n, a.held+n
+	a.spent += n
+	return Ticket{name, price, n}, nil
+}
+
+// lacking is why nothing can be reserved now.
+func (b *Book) lacking(now time.Duration, a *account, n int64) error {
+	switch own := b.own(a); {
+	case b.stale():
+		return b.stopped
+	case own >= n && b.failed != nil:
+		return b.failed
+	case own >= n, own+b.elsewhere(now, a.name) >= n:
+		if own < n {
+			b.beg(now, a)
+		}
+		b.Totals.Moving++
+		return Moving{a.name, 50 * time.Millisecond}
+	}
+	b.Totals.Out++
+	return FundsOut{a.name, time.Second}
+}
+
+// Charge settles a request that was served or may have run: its answer had so many bytes. The rest of what was set aside is
+// free again.
+func (b *Book) Charge(t Ticket, bytes int) int64 {
+	n := min(t.price.Of(bytes), t.amount)
+	b.settle(t, n)
+	return n
+}
+
+// Return settles a request that never ran, or was refused.
+func (b *Book) Return(t Ticket) { b.settle(t, 0) }
+
+func (b *Book) settle(t Ticket, n int64) {
+	a := b.accounts[t.Account]
+	if a == nil || t.amount == 0 {
+		return
+	}
+	a.held -= t.amount
+	a.free += t.amount - n
+	a.charged += n
+	a.spent -= t.amount - n
+	b.Totals.Charged += n
+	b.Totals.Returned += t.amount - n
+}
+
+// draw has rights moved from the ledger into memory, where requests are paid from: as much as is spent in a chunk's time,
+// and no less than is needed now.
+func (b *Book) draw(a *account, need int64) {
+	want := max(int64(math.Ceil(a.rate*b.set.Chunk.Seconds())), need, 1) - a.free - a.draw
+	n := min(want, a.line.Rights-a.wait)
+	if n <= 0 || b.stale() || b.failed != nil {
+		return
+	}
+	a.line.Rights, a.line.Drawn, a.draw = a.line.Rights-n, a.line.Drawn+n, a.draw+n
+	b.change(func(time.Duration) { a.draw, a.free = a.draw-n, a.free+n }, "account/"+a.name)
+}
+
+// Close brings what is free back to the ledger. Nothing is reserved any more after it.
+func (b *Book) Close() {
+	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
+		b.bringBack(b.accounts[name], 0)
+	}
+}
+
+// bringBack returns what is free to the ledger but for so much.
+func (b *Book) bringBack(a *account, but int64) {
+	if n := a.free - but; n > 0 {
+		a.free -= n
+		a.line.Drawn -= n
+		b.add(a, n)
+	}
+}
+
+func (b *Book) stale() bool {
+	_, is := b.stopped.(LedgerStale)
+	return is
+}
+
+// ---- Levels ----
+
+// Leaving Low needs more than entering it.
+const hysteresis = 1.25
+
+// paced tells whether a request may take from what is paced. Half of the bucket is for the classes of the greatest worth.
+func (b *Book) paced(now time.Duration, a *account, p Price, n int64) bool {
+	b.fill(now, a, n)
+	spare := 0.0
+	for _, other := range b.set.Prices {
+		if other.Worth > p.Worth {
+			spare = b.burst(a, n) / 2
+		}
+	}
+	if a.bucket < float64(n)+spare {
+		return false
+	}
+	a.bucket -= float64(n)
+	return true
+}
+
+// burst is what may be spent at once where it is paced: that of a second, or one request.
+func (b *Book) burst(a *account, n int64) float64 {
+	return max(float64(b.own(a))/b.set.Rest.Seconds(), 2*float64(n))
+}
+
+func (b *Book) fill(now time.Duration, a *account, n int64) {
+	pace := float64(b.own(a)) / b.set.Rest.Seconds()
+	a.bucket = min(a.bucket+pace*max(now-a.at, 0).Seconds(), b.burst(a, n))
+	a.at = max(a.at, now)
+}
+
+// own is what this router may still spend of an account.
+func (b *Book) own(a *account) int64 { return max(a.line.Rights, 0) + a.free + a.draw }
+
+// Beat looks at rates and levels, draws ahead of need, and moves rights to where they are used. It is due every
+// Settings.Beat; one that comes late does no harm.
+func (b *Book) Beat(now time.Duration) {
+	b.post.Beat(now)
+	b.ends(now)
+	keep := math.Exp(-b.set.Beat.Seconds() / 2)
+	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[name]
+		a.rate = a.rate*keep + float64(max(a.spent, 0))/b.set.Beat.Seconds()*(1-keep)
+		if a.rate < 1e-3 {
+			a.rate = 0
+		}
+		a.spent = 0
+		b.look(now, a)
+		need := int64(math.Ceil(a.rate * b.set.Chunk.Seconds()))
+		if a.free < need/2 || a.denied {
+			b.draw(a, need)
+		}
+		if a.free > 4*need && a.rate == 0 {
+			b.bringBack(a, 0) // nobody uses it here
+		}
+		if b.own(a) < 2*need || a.denied && a.line.Rights <= a.wait {
+			b.beg(now, a)
+		}
+		a.denied = false
+	}
+	b.tellAll(now)
+	b.beBorn(now)
+}
+
+// look sets an account's level by what is left and how fast it goes, over all routers as far as they have told.
+func (b *Book) look(now time.Duration, a *account) {
+	left, rate := float64(b.own(a)+b.elsewhere(now, a.name)), a.rate+b.ratesElsewhere(now, a.name)
+	last := rate * b.set.Rest.Seconds()
+	switch {
+	case left <= 0:
+		a.level = Out
+	case a.level == Low && left > hysteresis*last, a.level == Ample && left >= last, a.level == Out && left >= last:
+		a.level = Ample
+	default:
+		if a.level != Low {
+			a.bucket, a.at = 0, now
+		}
+		a.level = Low
+	}
+}
+
+// Standing is how an account stands with this router.
+type Standing struct {
+	Account                         string
+	Level                           Level
+	Rights, Free, Held, Charged, Of int64 // Of: what others have told that they hold
+}
+
+// Accounts returns how all accounts stand, in the order of their names.
+func (b *Book) Accounts(now time.Duration) (out []Standing) {
+	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[name]
+		out = append(out, Standing{name, a.level, a.line.Rights, a.free + a.draw, a.held, a.charged, b.elsewhere(now, name)})
+	}
+	return out
+}
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -109,7 +109,8 @@
 	To      uint64 // the process that the parcels are for; 0: not known yet, and there are none
 	Parcels []item
 	Answers []item // to parcels of the process To
-	Hello   bool   // asks for the process's number
+	Ask     uint64 // who is there under this name now? Answered by Echo with the same number
+	Echo    uint64
 }
 
 type item struct {
@@ -131,21 +132,26 @@
 // peer is another router, as its latest process that was heard of.
 type peer struct {
 	name    string
-	process uint64   // 0: not known yet
-	gone    []uint64 // processes of before, the latest
+	process uint64 // 0: not known yet
 	out     []*sent
 	bytes   int
-	answers []item // to be sent
-	hello   bool   // it asked for our number
-	asked   time.Duration
+	answers []item            // to be sent
+	ask     uint64            // the question who is there now, that is open; 0: none is
+	asked   time.Duration     // when it is asked again
+	lapse   time.Duration     // when it is given up, where nothing waits for its answer
+	echoes  []echo            // to be sent
+	poke    bool              // it takes us for another process, and is to hear of us
 	seen    map[uint64][]byte // parcels that came: their answers; nil: not answered yet
 	order   []uint64          // of seen, oldest first
 	floor   uint64            // numbers up to this are too old to be told apart
 	heard   time.Duration
 }
 
-// goneKept is how many earlier processes of a router are told apart from a later one.
-const goneKept = 64
+// echo answers who is here now, to the process that asked.
+type echo struct{ to, number uint64 }
+
+// echoesMost is how many questions are answered at a time.
+const echoesMost = 4
 
 // Post is one router's post. It is not safe for concurrent use.
 type Post struct {
@@ -153,6 +159,7 @@
 	peers map[string]*peer
 	where map[uint64]*peer // by parcels on the way
 	last  uint64
+	asks  uint64 // questions so far
 	done  []Done
 }
 
@@ -235,15 +242,26 @@
 		return nil
 	}
 	o := p.peer(now, w.From)
-	if o == nil || slices.Contains(o.gone, w.Process) {
+	if o == nil {
 		return nil
 	}
-	if o.process != w.Process {
-		p.renew(o, w.Process)
+	if w.Ask != 0 && len(o.echoes) < echoesMost {
+		o.echoes = append(o.echoes, echo{w.Process, w.Ask})
+	}
+	// Which process is there now only shows from the answer to a question that is still open: one that has ended can't give
+	// it, whatever of it is still on the way.
+	if w.Echo != 0 && w.Echo == o.ask && w.To == p.set.Process {
+		if o.ask = 0; o.process != w.Process {
+			p.renew(o, w.Process)
+		}
+	}
+	if w.Process != o.process {
+		p.question(o, now)
+		return nil
 	}
 	o.heard = now
-	if w.To != p.set.Process { // it does not know our number, or has that of a process that has ended
-		o.hello = true
+	if w.To != p.set.Process {
+		o.poke = true
 		return nil
 	}
 	for _, a := range w.Answers {
@@ -271,6 +289,17 @@
 	return in
 }
 
+// questionFor is how long a question is asked again, where nothing waits for its answer.
+const questionFor = 2 * time.Second
+
+// question asks who is there now, unless that is open already.
+func (p *Post) question(o *peer, now time.Duration) {
+	if o.ask == 0 {
+		p.asks++
+		o.ask, o.asked, o.lapse = p.asks, now, now+questionFor
+	}
+}
+
 // renew begins to talk to another process of a router. What was for the one before has no end any more but this.
 func (p *Post) renew(o *peer, process uint64) {
 	for _, s := range slices.Clone(o.out) {
@@ -281,11 +310,6 @@
 		}
 		s.process, s.next = process, 0
 	}
-	if o.process != 0 { // what it still may have on the way counts no more
-		if o.gone = append(o.gone, o.process); len(o.gone) > goneKept {
-			o.gone = slices.Delete(o.gone, 0, 1)
-		}
-	}
 	o.process, o.answers, o.order, o.floor = process, nil, nil, 0
 	clear(o.seen)
 }
@@ -324,7 +348,7 @@
 func (p *Post) Out(now time.Duration) (out []Packet) {
 	for _, name := range slices.Sorted(maps.Keys(p.peers)) {
 		o := p.peers[name]
-		if len(o.out) == 0 && len(o.answers) == 0 && !o.hello {
+		if len(o.out) == 0 && len(o.answers) == 0 && o.ask == 0 && len(o.echoes) == 0 && !o.poke {
 			continue
 		}
 		w, size := p.wire(o), 0
@@ -354,13 +378,24 @@
 					add(&w.Parcels, item{ID: s.id, Body: s.body})
 				}
 			}
-		} else if len(o.out) > 0 && now >= o.asked {
-			o.asked, w.Hello, any = now+p.set.First, true, true
+		} else if len(o.out) > 0 {
+			p.question(o, now)
+		}
+		if len(o.out) == 0 && now >= o.lapse {
+			o.ask = 0
+		}
+		if o.ask != 0 && now >= o.asked {
+			w.Ask, o.asked, any = o.ask, now+p.set.First, true
+		}
+		if any || o.poke {
+			o.poke = false
+			flush()
 		}
-		if any || o.hello {
-			o.hello = false
+		for _, e := range o.echoes {
+			w.To, w.Echo = e.to, e.number
 			flush()
 		}
+		o.echoes = nil
 	}
 	return out
 }
--- a/internal/parcel/parcel_test.go
+++ b/internal/parcel/parcel_test.go
@@ -113,6 +113,19 @@
 		if len(want) > 0 || p.posts["a"].Waiting() > 0 {
 			t.Fatalf("seed %d: no end of %v", seed, want)
 		}
+		// Whatever came late of processes that have ended, those that are there now understand each other.
+		p.loss = 0
+		id, err := p.posts["a"].Send(p.now, "b", []byte("last"), p.now+5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held := len(p.held)
+		for end := p.now + time.Second; p.now < end; {
+			p.step(t)
+		}
+		if len(p.held) == held {
+			t.Fatalf("seed %d: parcel %d never came", seed, id)
+		}
 	}
 	if answered < 1000 {
 		t.Errorf("%d parcels were answered", answered)
