Hold requests to a prepaid balance that all routers share, with a ledger that survives kills

Need: a customer whose funds run out is throttled over the whole fleet, and never more is spent than was funded, in any partition. internal/credit decides (rights to spend with one holder each), internal/ledger keeps its lines in bbolt (a group a sync; torn, foreign, copied and used files are refused by name), internal/topups reads the operator's file, and internal/purse puts it into the core (core.Funds): set aside as a request is begun, settled at its answer, refused at once with later and a reason. A request names its account in the field "account"; the library has Config.Account.

Found on the way: bbolt's own check runs on a goroutine of its own, where a read beyond a cut file ends the process (SIGBUS at the first cut tried). The length is read from both meta pages before the file is opened, and every line has a checksum of its own.

--- a/client/client.go
+++ b/client/client.go
@@ -39,6 +39,7 @@
 // Config sets up a client. Only Routers has to be given.
 type Config struct {
 	Routers   []string          // addresses, with ports
+	Account   string            // that pays for the requests; empty: none is named
 	Classes   map[string]Class  // default: Classes()
 	Policy    *policy.Settings  // default: policy.Defaults(), with a random seed
 	MaxAnswer int               // bytes of an answer; default: 240,000
--- a/client/conn.go
+++ b/client/conn.go
@@ -252,7 +252,7 @@
 	if q.pc.Claims() {
 		resumes = q.lost
 	}
-	return rpcwire.AppendCall(buf, uint64(it.id), &rpcwire.Request{Method: n.c.names[q.class], Txn: q.txn, Resumes: resumes,
+	return rpcwire.AppendCall(buf, uint64(it.id), &rpcwire.Request{Method: n.c.names[q.class], Txn: q.txn, Resumes: resumes, Account: n.c.cfg.Account,
 		Limit: max(limit.Milliseconds(), 1), Second: it.second, Item: q.req.Item, Nth: q.req.Part, Batch: q.req.Group,
 		Got: q.req.Have, Body: q.req.Body})
 }
--- a/cmd/hillknot-lab/main.go
+++ b/cmd/hillknot-lab/main.go
@@ -48,7 +48,17 @@
 	outlive.Flags().IntVar(&kills, "kills", 1000, "how many, one after the other")
 	outlive.Flags().DurationVar(&each, "each", 8*time.Second, "how long each fault lasts")
 	outlive.Flags().Uint64Var(&seed, "seed", 1, "of the faults and the load")
-	root.AddCommand(clients, together, outlive)
+	pay := &cobra.Command{
+		Use: "credit", Short: "Run routers that share prepaid balances through faults", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return lab.Credit(talker, routers, each, seed, cmd.OutOrStdout())
+		},
+	}
+	pay.Flags().StringVar(&talker, "router", "bin/hillknot-talk", "the router `PROGRAM`, built with talk")
+	pay.Flags().IntVar(&routers, "routers", 7, "how many")
+	pay.Flags().DurationVar(&each, "each", 4*time.Second, "how long each fault lasts")
+	pay.Flags().Uint64Var(&seed, "seed", 1, "of the load")
+	root.AddCommand(clients, together, outlive, pay)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/hillknot/errors_test.go
+++ b/cmd/hillknot/errors_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"hillknot/internal/credit"
+	"hillknot/internal/ledger"
 	"hillknot/internal/parcel"
 	"hillknot/internal/remedy"
 	"hillknot/internal/takeover"
@@ -21,7 +23,7 @@
 		t.Fatal(err)
 	}
 	want := map[string]bool{}
-	for _, list := range [][]remedy.Error{parcel.Errors, takeover.Errors} {
+	for _, list := range [][]remedy.Error{parcel.Errors, takeover.Errors, credit.Errors, ledger.Errors} {
 		for _, e := range list {
 			if e.Remedy() == "" || remedy.Of(fmt.Errorf("wrapped: %w", e)) != e.Remedy() {
 				t.Errorf("%T: no remedy through what wraps it", e)
--- a/cmd/hillknot/outlive_test.go
+++ b/cmd/hillknot/outlive_test.go
@@ -108,3 +108,24 @@
 		}
 	}
 }
+
+// A balance that all routers share is never overspent, while some are cut off, killed and read a top-up late.
+func TestCredit(t *testing.T) {
+	p, err := lab.NewPayers(program(t), 4, map[string]float64{"poor": 50, "rich": 1e5}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	rows, err := p.PayFaults(1500*time.Millisecond, 8, 300, []string{"two cut off from the rest", "killed again and again", "top-up read by half of the fleet"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		if r.Broken() || r.Served < 50 || r.Refused == 0 || r.Beside < 0.5 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if r := rows[1]; r.Stranded > 0.1 {
+		t.Errorf("stranded when all talk: %+v", r)
+	}
+}
--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -163,8 +163,8 @@
 // else holds from the start on. A faulty file changes nothing: the router goes on with what it has.
 func reload(path, operator string, feed *journal.Client, peers keyed) {
 	if peers != nil {
-		if err := peers.ReadKeys(); err != nil {
-			slog.Error("fleet keys not taken", "err", err)
+		if err := peers.Reread(); err != nil {
+			slog.Error("files of the fleet not taken", "err", err)
 		}
 	}
 	cfg, err := config.Load(path, operator)
@@ -198,6 +198,9 @@
 			break
 		}
 	}
+	closed := make(chan struct{})
+	c.Post(func() { c.CloseFunds(); close(closed) })
+	<-closed
 	slog.Info("ended", "after", time.Since(start), "followed", c.Snapshot().Followed)
 	time.Sleep(50 * time.Millisecond) // the last answers are on their way out
 }
--- a/cmd/hillknot/share.go
+++ b/cmd/hillknot/share.go
@@ -7,8 +7,8 @@
 	"hillknot/internal/core"
 )
 
-// keyed is who talks to other routers, under keys that may change.
-type keyed interface{ ReadKeys() error }
+// keyed is who talks to other routers, by files that may change.
+type keyed interface{ Reread() error }
 
 // share prepares what the router shares with others, and has the module ask for it.
 func share(cfg *config.Config) (*core.Shared, error) {
--- a/cmd/hillknot/talk.go
+++ b/cmd/hillknot/talk.go
@@ -5,33 +5,53 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
+	"math"
 	"time"
 
 	"hillknot/brain"
 	"hillknot/internal/config"
 	"hillknot/internal/core"
+	"hillknot/internal/credit"
 	"hillknot/internal/fleetstate"
 	"hillknot/internal/members"
 	"hillknot/internal/outlive"
+	"hillknot/internal/purse"
 	"hillknot/internal/takeover"
 )
 
 // talk begins to share, and to talk to the others until stop is closed. It is called once a predecessor, if there is one,
 // has been told that this process takes its place.
 func talk(cfg *config.Config, c *core.Core, shared *core.Shared, stop <-chan struct{}) (keyed, error) {
-	var hands *outlive.Hands // of the core's goroutine
-	m, err := members.New(cfg.Name, cfg.Fleet, func(msgs []fleetstate.Message) { c.Post(func() { c.Hear(msgs) }) },
-		func(packet []byte) {
+	var hands *outlive.Hands // these are of the core's goroutine
+	var money *purse.Purse
+	m, err := members.New(cfg.Name, cfg.Fleet, func(msgs []fleetstate.Message) { c.Post(func() { c.Hear(msgs) }) }, members.Lanes{
+		Orders: func(packet []byte) {
 			c.Post(func() {
 				if hands != nil {
 					hands.Take(packet)
 				}
 			})
-		})
+		},
+		Credit: func(packet []byte) {
+			c.Post(func() {
+				if money != nil {
+					money.Take(packet)
+				}
+			})
+		}})
 	if err != nil {
 		return nil, err
 	}
+	t := &talking{Members: m}
+	if cfg.Fleet.Credit.On {
+		if t.purse, err = openPurse(cfg, c, m); err != nil {
+			return nil, err
+		}
+		c.Post(func() { money = t.purse; money.Begin() })
+		go t.purse.Run(stop)
+	}
 	if cfg.Fleet.Takeover.On {
 		h, err := outlive.New(c, takeoverSettings(cfg), cfg.Settings.Classes, m, slog.Default().Enabled(context.Background(), slog.LevelDebug))
 		if err != nil {
@@ -41,9 +61,37 @@
 	}
 	c.Post(func() { c.Share(shared, m) })
 	go m.Run(stop)
-	return m, nil
+	return t, nil
+}
+
+// talking is what SIGHUP reads again.
+type talking struct {
+	*members.Members
+	purse *purse.Purse
 }
 
+// Reread reads the keys and the top-ups again. A faulty file changes nothing.
+func (t *talking) Reread() error {
+	err := t.ReadKeys()
+	if t.purse != nil {
+		err = errors.Join(err, t.purse.Read())
+	}
+	return err
+}
+
+func openPurse(cfg *config.Config, c *core.Core, m *members.Members) (*purse.Purse, error) {
+	f := cfg.Fleet
+	set := credit.Defaults(cfg.Name, f.State.Process, "")
+	set.Rest, set.Chunk, set.Prices = f.Credit.Rest, f.Credit.Chunk, map[string]credit.Price{}
+	for class, p := range f.Credit.Prices {
+		set.Prices[class] = credit.Price{Each: micro(p.Each), PerMB: micro(p.PerMB), Worth: p.Worth}
+	}
+	return purse.Open(c, f.Ledger, set, purse.Settings{Topups: f.Credit.Topups, Unnamed: f.Credit.Unnamed, Most: cfg.Limits.Object}, m)
+}
+
+// micro is an amount of credits in millionths.
+func micro(credits float64) int64 { return int64(math.Round(credits * 1e6)) }
+
 func takeoverSettings(cfg *config.Config) takeover.Settings {
 	f := cfg.Fleet
 	longest := time.Duration(0)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -138,7 +138,7 @@
 		Limits: limits(o),
 		DNS:    readDNS(o), Agent: address(o.Object("agent_check"), "listen"), Ops: address(o, "ops"),
 	}
-	c.Fleet = readFleet(o, c.Name)
+	c.Fleet = readFleet(o, c.Name, c.Settings.Classes)
 	if o.Has("health") {
 		o.Fail("health", "is no key any more: GET /status at the address under ops answers health checks")
 	}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"hillknot/brain"
 	"hillknot/internal/fields"
 	"hillknot/internal/fleetkeys"
 	"hillknot/internal/fleetstate"
@@ -22,8 +23,22 @@
 	Retries   fleetstate.Terms    // the same
 	Place     string              // where this router is
 	Takeover  Takeover
+	Ledger    string // the file that must survive a kill
+	Credit    Credit
 }
 
+// Credit sets up prepaid balances.
+type Credit struct {
+	On          bool
+	Topups      string // the file
+	Unnamed     bool   // requests without an account are free
+	Rest, Chunk time.Duration
+	Prices      map[string]Price // by class
+}
+
+// Price is what a request costs, in credits.
+type Price struct{ Each, PerMB, Worth float64 }
+
 // Takeover sets up how orders outlive their router.
 type Takeover struct {
 	On                       bool
@@ -33,7 +48,7 @@
 }
 
 // readFleet reads the block fleet, without which the router talks to no other.
-func readFleet(o fields.Object, name string) Fleet {
+func readFleet(o fields.Object, name string, classes []brain.Class) Fleet {
 	if !o.Has("fleet") {
 		return Fleet{}
 	}
@@ -67,6 +82,10 @@
 		b.Fail("place", "is over 64 bytes")
 	}
 	f.Takeover = readTakeover(b, f)
+	if f.Credit = readCredit(b, classes); f.Credit.On {
+		b.Must("ledger")
+	}
+	f.Ledger = b.Text("ledger", "")
 	if err := f.State.Check(); err != nil {
 		key := "size"
 		switch {
@@ -127,6 +146,44 @@
 	return t
 }
 
+// readCredit reads the block credit, without which requests are free.
+func readCredit(b fields.Object, classes []brain.Class) Credit {
+	if !b.Has("credit") {
+		return Credit{}
+	}
+	o := b.Object("credit")
+	o.Must("topups", "prices")
+	c := Credit{On: true, Topups: o.Text("topups", ""), Rest: o.Span("rest_s", time.Second, 30*time.Second),
+		Chunk: o.Span("chunk_ms", time.Millisecond, time.Second), Prices: map[string]Price{}}
+	switch unnamed := o.Text("unnamed", "refuse"); unnamed {
+	case "free":
+		c.Unnamed = true
+	case "refuse":
+	default:
+		o.Fail("unnamed", fmt.Sprintf("is %q, neither \"refuse\" nor \"free\"", unnamed))
+	}
+	if c.Rest < time.Second || c.Rest > 24*time.Hour {
+		o.Fail("rest_s", "is not a second to a day")
+	}
+	if c.Chunk < 10*time.Millisecond || c.Chunk > time.Minute {
+		o.Fail("chunk_ms", "is not 10 ms to a minute")
+	}
+	prices := o.Object("prices")
+	for _, k := range classes {
+		if !prices.Has(k.Name) {
+			continue // it is free
+		}
+		p := prices.Object(k.Name)
+		c.Prices[k.Name] = Price{Each: p.Number("each", 0), PerMB: p.Number("per_mb", 0), Worth: p.Number("worth", k.Worth)}
+		for _, n := range []string{"each", "per_mb", "worth"} {
+			if v := p.Number(n, 0); !(v >= 0 && v <= 1e6) {
+				p.Fail(n, "is not 0 to a million")
+			}
+		}
+	}
+	return c
+}
+
 // readTerms reads what all routers together may spend. The burst buys each router one at least with half of its part.
 func readTerms(b fields.Object, name string, size int) fleetstate.Terms {
 	if !b.Has(name) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,7 +33,7 @@
 	Verdict Verdict
 	Body    []byte        // belongs to the receiver
 	Wait    time.Duration // of a refusal: how long to stay away
-	Reason  string        // of a failure
+	Reason  string        // of a failure; of a refusal, why, if it is not load
 }
 
 // Request is what a front submits. The texts are passed on to the page cache as they are.
@@ -47,6 +47,7 @@
 	Body           []byte
 	Write          bool
 	Again          bool   // the client has asked before
+	Account        string // that pays for it; empty: none is named
 	Resumes        string // the txn of the same request, whose router the client has lost; empty: none
 	// Reply is called once on the core's goroutine, unless the request is withdrawn. It returns what the client was
 	// told in the end: an answer that can't be passed on becomes a failure.
@@ -104,6 +105,8 @@
 	attempt *Attempt
 	ran     bool // an attempt may have run
 
+	paid Payment // set aside for it
+
 	// Where the loss of routers is guarded against.
 	kept     bool     // another router knows of it
 	claiming bool     // the others are being asked what became of it
@@ -148,6 +151,7 @@
 	dispatches uint64
 	snap       atomic.Pointer[Snapshot]
 	trace      bool
+	funds      Funds                    // nil: requests are free
 	rights     Rights                   // nil: orders end with their router
 	shared     *Shared                  // nil: nothing is shared with other routers
 	warm       map[string]time.Duration // by kind: a member that started so long ago is warm
@@ -264,6 +268,9 @@
 	if c.rights != nil {
 		c.rights.Flush()
 	}
+	if c.funds != nil {
+		c.funds.Flush()
+	}
 	c.publish()
 	if len(c.timers) == 0 {
 		return 0, false
@@ -339,7 +346,7 @@
 
 // begin hands a request to the module.
 func (c *Core) begin(r *request) {
-	if !c.keep(r) {
+	if !c.pay(r) || !c.keep(r) {
 		return
 	}
 	c.events = append(c.events, brain.Request{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
@@ -393,6 +400,7 @@
 
 // conclude tells the client.
 func (c *Core) conclude(r *request, a Answer) {
+	c.settled(r, a.Verdict == Served || a.Verdict == Unchanged || r.ran, len(a.Body))
 	c.traceAnswer(r, a.Verdict)
 	c.reply(&r.Request, a)
 }
--- /dev/null
+++ b/internal/core/funds.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"hillknot/internal/remedy"
+)
+
+// Payment is what is set aside for a request, as Funds knows it; nil: nothing.
+type Payment any
+
+// Funds says what a request's account allows. Its methods are called on the core's goroutine; none may block but Close.
+type Funds interface {
+	Reserve(q *Request) (Payment, error)                 // an error: it is refused, and never ran
+	Settle(p Payment, ran bool, bytes int)               // it was served with so many bytes, or may have run; or surely not
+	Later(err error) (wait time.Duration, reason string) // what a refused client is told
+	Flush()                                              // what is to be written and said goes out
+	Figures() []Figure                                   // for operators
+	Close()                                              // the router ends
+}
+
+// Charge has requests paid for. It is called once, on the core's goroutine.
+func (c *Core) Charge(f Funds) { c.funds = f }
+
+// CloseFunds brings back what is not spent. It is called once nothing is open any more.
+func (c *Core) CloseFunds() {
+	if c.funds != nil {
+		c.funds.Close()
+		c.funds = nil
+	}
+}
+
+// pay sets aside what a request may cost, and tells whether it goes on. One that can't be paid for is refused at once.
+func (c *Core) pay(r *request) bool {
+	if c.funds == nil {
+		return true
+	}
+	p, err := c.funds.Reserve(&r.Request)
+	if err != nil {
+		wait, reason := c.funds.Later(err)
+		slog.Debug("request not paid for", "txn", r.Txn, "account", r.Account, remedy.Attr(err))
+		c.answer(r, Answer{Verdict: Refused, Wait: wait, Reason: reason})
+		return false
+	}
+	r.paid = p
+	return true
+}
+
+// settled settles what was set aside for a request. What may have run is paid for.
+func (c *Core) settled(r *request, ran bool, bytes int) {
+	if r.paid != nil && c.funds != nil {
+		c.funds.Settle(r.paid, ran, bytes)
+		r.paid = nil
+	}
+}
--- a/internal/core/rights.go
+++ b/internal/core/rights.go
@@ -161,6 +161,7 @@
 
 // withdrawn takes that nobody waits for a request any more.
 func (c *Core) withdrawn(r *request) {
+	c.settled(r, r.ran, 0)
 	switch {
 	case r.claiming:
 		c.rights.Drop(r.id)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -36,7 +36,7 @@
 	Open       int           // requests taken and not ended
 	Targets    int           // page caches listed
 	Avoided    int           // of these, those that the module avoids
-	Hands      []Figure      // of orders that outlive routers; nil: they don't
+	Hands      []Figure      // of orders that outlive routers, and of credit
 	Fleet      *FleetFigures // what is shared with other routers, as of the latest beat; nil: nothing
 }
 
@@ -57,6 +57,9 @@
 	if c.rights != nil {
 		s.Hands = c.rights.Figures()
 	}
+	if c.funds != nil {
+		s.Hands = append(s.Hands[:len(s.Hands):len(s.Hands)], c.funds.Figures()...)
+	}
 	c.snap.Store(s)
 }
 
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,228 @@
+// Package ledger keeps lines on the disk that must survive a kill, in one bbolt file: all lines of a group are there, or none.
+package ledger
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"hillknot/internal/remedy"
+)
+
+// Foreign says that a file is no ledger of this router.
+type Foreign struct{ Path, Why string }
+
+func (e Foreign) Error() string {
+	return fmt.Sprintf("%s is no ledger of this router: %s", e.Path, e.Why)
+}
+
+// Remedy implements remedy.Error.
+func (Foreign) Remedy() string {
+	return "Name this router's own file; a copied ledger is refused, as what it holds may be spent already: move the first one back."
+}
+
+// Torn says that a ledger is damaged.
+type Torn struct{ Path, Why string }
+
+func (e Torn) Error() string { return fmt.Sprintf("%s is damaged: %s", e.Path, e.Why) }
+
+// Remedy implements remedy.Error.
+func (Torn) Remedy() string {
+	return "Keep the file for who can read it, and start the router under a name that no router had; what it held rests."
+}
+
+// InUse says that another process has the ledger open.
+type InUse struct{ Path string }
+
+func (e InUse) Error() string { return e.Path + " is open in another process" }
+
+// Remedy implements remedy.Error.
+func (InUse) Remedy() string {
+	return "End the other process, or give each router a ledger of its own."
+}
+
+// Errors holds an example of each type of this package, as docs/errors.md shows it.
+var Errors = []remedy.Error{Foreign{"r1.ledger", "it is of \"r2\""}, Torn{"r1.ledger", "it is shorter than it says"}, InUse{"r1.ledger"}}
+
+// Line is a key and its value.
+type Line struct {
+	Key   string
+	Value []byte
+}
+
+// Ledger is an open file. Its methods may be called anywhere; Write blocks until the disk has it.
+type Ledger struct {
+	db *bolt.DB
+	ID string // drawn as the file was made
+}
+
+var (
+	about = []byte("about")
+	lines = []byte("lines")
+)
+
+const (
+	format   = "hillknot ledger 1"
+	openWait = 200 * time.Millisecond
+)
+
+// Open opens the ledger of a router, or makes it, and returns its lines. An error is Foreign, Torn or InUse, or one of the
+// file system.
+func Open(path, self string) (l *Ledger, all []Line, err error) {
+	if info, err := os.Stat(path); err == nil && info.Size() > 0 {
+		if err := looked(path, info.Size()); err != nil {
+			return nil, nil, err
+		}
+	}
+	// What is damaged in other ways may make reads fault, which would end the process.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			l, all, err = nil, nil, Torn{path, fmt.Sprint(p)}
+		}
+	}()
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: openWait})
+	switch {
+	case errors.Is(err, bolt.ErrTimeout):
+		return nil, nil, InUse{path}
+	case err != nil && errors.As(err, new(*os.PathError)):
+		return nil, nil, fmt.Errorf("ledger: %w", err)
+	case err != nil:
+		return nil, nil, Torn{path, err.Error()}
+	}
+	l = &Ledger{db: db}
+	if all, err = l.begin(path, self); err != nil {
+		_ = db.Close() // the first error is the one to report
+		return nil, nil, err
+	}
+	return l, all, nil
+}
+
+// looked tells whether a file begins as a ledger does, and is as long as it says: reads of what is missing would fault. It
+// reads bbolt's two meta pages: a header of 16 bytes, then mark, version, page size and flags in 4 bytes each, 24 bytes of
+// roots, and in 8 bytes each how many pages there are and the number of the change; the later one holds.
+func looked(path string, size int64) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	defer f.Close()
+	var pages, latest uint64
+	page := int64(0)
+	for i := range 2 {
+		meta := make([]byte, 80)
+		_, err := f.ReadAt(meta, int64(i)*page)
+		switch {
+		case err != nil && i == 0 && size < 80:
+			return Foreign{path, "it is shorter than any ledger"}
+		case err != nil:
+			return Torn{path, "it is shorter than any ledger"}
+		case binary.LittleEndian.Uint32(meta[16:]) != 0xED0CDAED && i == 0:
+			return Foreign{path, "it is another kind of file"}
+		}
+		if page = int64(binary.LittleEndian.Uint32(meta[24:])); page < 512 || page > 1<<16 {
+			return Torn{path, fmt.Sprintf("its pages have %d bytes", page)}
+		}
+		if n := binary.LittleEndian.Uint64(meta[64:]); i == 0 || n > latest {
+			pages, latest = binary.LittleEndian.Uint64(meta[56:]), n
+		}
+	}
+	if pages > 1<<32 || size < int64(pages)*page {
+		return Torn{path, fmt.Sprintf("it has %d bytes of %d pages", size, pages)}
+	}
+	return nil
+}
+
+// begin checks whose ledger it is and whether it is whole, or makes a new one.
+func (l *Ledger) begin(path, self string) (all []Line, err error) {
+	here, err := identity(path)
+	if err != nil {
+		return nil, err
+	}
+	err = l.db.Update(func(tx *bolt.Tx) error {
+		b := tx.Bucket(about)
+		if b == nil {
+			if tx.Bucket(lines) != nil {
+				return Foreign{path, "it lacks what a ledger says of itself"}
+			}
+			id := make([]byte, 16)
+			_, _ = rand.Read(id) // it never fails
+			b, err := tx.CreateBucket(about)
+			if err != nil {
+				return err
+			}
+			l.ID = hex.EncodeToString(id)
+			for k, v := range map[string]string{"format": format, "self": self, "id": l.ID, "file": here} {
+				if err := b.Put([]byte(k), []byte(v)); err != nil {
+					return err
+				}
+			}
+			_, err = tx.CreateBucket(lines)
+			return err
+		}
+		l.ID = string(b.Get([]byte("id")))
+		switch {
+		case string(b.Get([]byte("format"))) != format:
+			return Foreign{path, fmt.Sprintf("its format is %q", b.Get([]byte("format")))}
+		case string(b.Get([]byte("self"))) != self:
+			return Foreign{path, fmt.Sprintf("it is of %q", b.Get([]byte("self")))}
+		case string(b.Get([]byte("file"))) != here:
+			return Foreign{path, "it was made as another file: it is a copy"}
+		case tx.Bucket(lines) == nil || l.ID == "":
+			return Torn{path, "its lines are missing"}
+		}
+		return tx.Bucket(lines).ForEach(func(k, v []byte) error { // all of it is read, so that what is missing shows now
+			if len(v) < 4 || binary.BigEndian.Uint32(v) != sum(k, v[4:]) {
+				return Torn{path, fmt.Sprintf("line %q is not as it was written", k)}
+			}
+			all = append(all, Line{string(k), bytes.Clone(v[4:])})
+			return nil
+		})
+	})
+	return all, err
+}
+
+// identity tells a file from its copies.
+func identity(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", fmt.Errorf("ledger: %w", err)
+	}
+	st, ok := info.Sys().(*syscall.Stat_t)
+	if !ok {
+		return "", fmt.Errorf("ledger: %s: no identity of the file on this system", path)
+	}
+	return fmt.Sprintf("%d/%d", st.Dev, st.Ino), nil
+}
+
+// sum guards a line against a disk that brings back something else.
+func sum(key, value []byte) uint32 {
+	return crc32.Update(crc32.ChecksumIEEE(key), crc32.IEEETable, value)
+}
+
+// Write writes lines, all or none, and returns once the disk has them. After an error they may be there or not.
+func (l *Ledger) Write(group []Line) error {
+	return l.db.Update(func(tx *bolt.Tx) error {
+		b := tx.Bucket(lines)
+		for _, line := range group {
+			key := []byte(line.Key)
+			if err := b.Put(key, append(binary.BigEndian.AppendUint32(nil, sum(key, line.Value)), line.Value...)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Close closes the file.
+func (l *Ledger) Close() error { return l.db.Close() }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -51,7 +51,7 @@
 	guest  bool // it has no part of its own in what is shared
 	cfg    config.Fleet
 	heard  func([]fleetstate.Message)
-	parcel func([]byte) // a packet of parcels has come; nil: there are none
+	lanes  Lanes
 	ring   *memberlist.Keyring
 	letter chan post
 	large  chan struct{} // places for what goes over a connection of its own
@@ -69,14 +69,18 @@
 	text    []byte
 }
 
-// New reads the keys. What others say is handed to heard, and packets of parcels to parcel, if it is set, on goroutines
-// of the gossip.
-func New(name string, cfg config.Fleet, heard func([]fleetstate.Message), parcel func([]byte)) (*Members, error) {
+// Lanes take the packets of parcels that come, on goroutines of the gossip; nil: there are none.
+type Lanes struct {
+	Orders, Credit func([]byte)
+}
+
+// New reads the keys. What others say is handed to heard, on goroutines of the gossip, and packets of parcels to the lanes.
+func New(name string, cfg config.Fleet, heard func([]fleetstate.Message), lanes Lanes) (*Members, error) {
 	keys, err := fleetkeys.Read(cfg.KeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("fleet keys %s: %w", cfg.KeyFile, err)
 	}
-	m := &Members{name: name, guest: cfg.State.Guest, cfg: cfg, heard: heard, parcel: parcel, letter: make(chan post, queueMost), large: make(chan struct{}, largeMost)}
+	m := &Members{name: name, guest: cfg.State.Guest, cfg: cfg, heard: heard, lanes: lanes, letter: make(chan post, queueMost), large: make(chan struct{}, largeMost)}
 	if m.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
 		return nil, fmt.Errorf("fleet keys %s: %w", cfg.KeyFile, err)
 	}
@@ -218,8 +222,18 @@
 	}
 }
 
-// parcelLane begins a packet of parcels: no other message does.
-const parcelLane = 0xf0
+// CarryCredit is Carry for what routers say to each other of credit.
+func (m *Members) CarryCredit(packets []parcel.Packet) {
+	for _, p := range packets {
+		m.put(post{to: p.To, text: append([]byte{creditLane}, p.Data...)})
+	}
+}
+
+// These begin a packet of parcels: no other message does.
+const (
+	parcelLane = 0xf0 + iota
+	creditLane
+)
 
 func (m *Members) put(p post) {
 	select {
@@ -331,9 +345,9 @@
 
 // take hands on all messages of a text, up to the first that can't be read.
 func (m *Members) take(text []byte) {
-	if len(text) > 0 && text[0] == parcelLane {
-		if m.parcel != nil {
-			m.parcel(bytes.Clone(text[1:])) // the buffer is the gossip's
+	if len(text) > 0 && text[0] >= parcelLane {
+		if f := map[byte]func([]byte){parcelLane: m.lanes.Orders, creditLane: m.lanes.Credit}[text[0]]; f != nil {
+			f(bytes.Clone(text[1:])) // the buffer is the gossip's
 		}
 		return
 	}
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -137,7 +137,7 @@
 		_, lostOK := hexID(f.Resumes)
 		txnOK = txnOK && lostOK
 	}
-	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) {
+	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) || len(f.Account) > accountMost {
 		return q, rpcwire.BadRequest
 	}
 	wait := time.Duration(limit) * time.Millisecond
@@ -150,9 +150,12 @@
 	}
 	return core.Request{Txn: string(f.Txn), Item: string(f.Item), Nth: nth, Class: string(m.Method), Object: object,
 		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write,
-		Again: string(f.Second) == "1", Resumes: string(f.Resumes)}, ""
+		Again: string(f.Second) == "1", Resumes: string(f.Resumes), Account: string(f.Account)}, ""
 }
 
+// accountMost bounds an account's name.
+const accountMost = 128
+
 // number reads a whole number; an absent one is 0.
 func number(b []byte, bits int) (uint64, bool) {
 	if len(b) == 0 {
@@ -246,10 +249,7 @@
 	case core.Unchanged:
 		return rpcwire.AppendServed(b, id, nil, "ok304", "1")
 	case core.Refused:
-		if ms := a.Wait.Milliseconds(); ms > 0 {
-			return rpcwire.AppendError(b, id, rpcwire.Throttled, "later", strconv.FormatInt(ms, 10))
-		}
-		return rpcwire.AppendError(b, id, rpcwire.Throttled, "", "")
+		return rpcwire.AppendRefused(b, id, a.Wait.Milliseconds(), a.Reason)
 	}
 	return rpcwire.AppendError(b, id, a.Reason, "", "")
 }
--- a/internal/outlive/outlive.go
+++ b/internal/outlive/outlive.go
@@ -140,7 +140,7 @@
 	object, _ := strconv.ParseUint(o.Item, 16, 64) // as the router that took it read it
 	slog.Info("order of a lost router is run here", "txn", o.Txn, "class", o.Class)
 	h.core.Submit(h.core.NewID(), core.Request{Txn: o.Txn, Item: o.Item, Nth: strconv.FormatUint(o.Part, 10), Class: o.Class,
-		Object: object, Part: o.Part, Group: o.Group, Limit: o.Left, Body: o.Body, Write: h.writes[o.Class],
+		Object: object, Part: o.Part, Group: o.Group, Account: o.Account, Limit: o.Left, Body: o.Body, Write: h.writes[o.Class],
 		Reply: func(a core.Answer) core.Verdict {
 			h.table.Abandon(h.core.Now(), o.Txn) // where it was not taken at all
 			return a.Verdict
@@ -149,9 +149,9 @@
 
 // order is a request as its keeper knows it.
 func order(q *core.Request, txn string, left time.Duration) takeover.Order {
-	o := takeover.Order{Txn: txn, Class: q.Class, Item: q.Item, Part: q.Part, Group: q.Group, Left: left, Body: q.Body}
+	o := takeover.Order{Txn: txn, Class: q.Class, Item: q.Item, Account: q.Account, Part: q.Part, Group: q.Group, Left: left, Body: q.Body}
 	sum := sha256.New()
-	for _, s := range [][]byte{[]byte(q.Class), []byte(q.Item), q.Body} {
+	for _, s := range [][]byte{[]byte(q.Class), []byte(q.Item), []byte(q.Account), q.Body} {
 		sum.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
 		sum.Write(s)
 	}
--- /dev/null
+++ b/internal/purse/purse.go
@@ -0,0 +1,272 @@
+// Package purse puts prepaid credit into the core: it carries out what credit decides, writes its ledger, and hands requests
+// and the packets of other routers to it. Only programs built with the tag talk have it.
+package purse
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"hillknot/internal/core"
+	"hillknot/internal/credit"
+	"hillknot/internal/ledger"
+	"hillknot/internal/parcel"
+	"hillknot/internal/remedy"
+	"hillknot/internal/topups"
+)
+
+// Carrier carries packets between routers. No method may block.
+type Carrier interface {
+	CarryCredit([]parcel.Packet)
+	Alive() (others []string, owners int)
+}
+
+// Settings set up the purse beside what credit needs.
+type Settings struct {
+	Topups  string // the file
+	Unnamed bool   // requests without an account are free
+	Most    int    // bytes of the largest answer
+}
+
+// Purse implements core.Funds. All its methods but Read and Run belong to the core's goroutine.
+type Purse struct {
+	core    *core.Core
+	set     Settings
+	book    *credit.Book
+	ledger  *ledger.Ledger
+	carrier Carrier
+	writes  chan []ledger.Line
+	results chan error
+	writing []credit.Entry
+	figures []core.Figure
+	fresh   time.Duration
+	beat    time.Duration
+	told    string // the trouble that the log knows of
+}
+
+// retryEvery is how often a ledger that could not be written is tried again.
+const retryEvery = 500 * time.Millisecond
+
+// Open opens the ledger and reads the top-ups. Set.Ledger is the ledger's to tell.
+func Open(c *core.Core, path string, set credit.Settings, more Settings, carrier Carrier) (*Purse, error) {
+	l, lines, err := ledger.Open(path, set.Self)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]credit.Entry, len(lines))
+	for i, line := range lines {
+		entries[i] = credit.Entry(line)
+	}
+	set.Ledger = l.ID
+	p := &Purse{core: c, set: more, ledger: l, carrier: carrier, writes: make(chan []ledger.Line, 1), results: make(chan error, 1), beat: set.Beat}
+	if p.book, err = credit.New(set, entries); err == nil {
+		err = p.fund(0)
+	}
+	if err != nil {
+		_ = l.Close() // the first error is the one to report
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Purse) fund(now time.Duration) error {
+	list, err := topups.Read(p.set.Topups)
+	if err != nil {
+		return err
+	}
+	return p.book.Fund(now, list)
+}
+
+// Begin begins to hold requests to their accounts.
+func (p *Purse) Begin() {
+	p.core.Charge(p)
+	p.tick()
+}
+
+// Run writes the ledger until stop is closed: a group at a time, which is all that came together while the one before was
+// on its way to the disk.
+func (p *Purse) Run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case group := <-p.writes:
+			p.results <- p.ledger.Write(group)
+			p.core.Post(p.written)
+		}
+	}
+}
+
+// written takes how the group that was handed over came out, once.
+func (p *Purse) written() {
+	var err error
+	select {
+	case err = <-p.results:
+	default:
+		return
+	}
+	lines := p.writing
+	p.writing = nil
+	p.book.Written(p.core.Now(), lines, err)
+	if err != nil {
+		p.core.At(p.core.Now()+retryEvery, p.write)
+		return
+	}
+	p.write()
+}
+
+// write hands the ledger what is to be written, unless something is on its way there.
+func (p *Purse) write() {
+	if p.writing != nil {
+		return
+	}
+	p.writing = p.book.Write()
+	if p.writing == nil {
+		return
+	}
+	group := make([]ledger.Line, len(p.writing))
+	for i, e := range p.writing {
+		group[i] = ledger.Line(e)
+	}
+	p.writes <- group // there is room: nothing else is on its way
+}
+
+func (p *Purse) tick() {
+	now := p.core.Now()
+	others, _ := p.carrier.Alive()
+	p.book.Live(others)
+	p.book.Beat(now)
+	p.trouble()
+	if now >= p.fresh {
+		p.fresh = now + p.beat
+		p.figures = figures(p.book.Totals, p.book.Accounts(now))
+	}
+	p.core.At(now+p.beat, p.tick)
+}
+
+// trouble tells the log, once, why the ledger is not written or not counted on.
+func (p *Purse) trouble() {
+	err := errors.Join(p.book.Failed(), p.book.Stopped())
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text != p.told && err != nil {
+		slog.Error("credit", remedy.Attr(err))
+	} else if text != p.told {
+		slog.Info("credit is well again")
+	}
+	p.told = text
+}
+
+// Take takes a packet of another router.
+func (p *Purse) Take(data []byte) { p.book.Take(p.core.Now(), data) }
+
+// Flush implements core.Funds.
+func (p *Purse) Flush() {
+	if p.book.Failed() == nil {
+		p.write()
+	}
+	if out := p.book.Out(p.core.Now()); len(out) > 0 {
+		p.carrier.CarryCredit(out)
+	}
+}
+
+// Read reads the file of top-ups again. A faulty one changes nothing. It may be called anywhere.
+func (p *Purse) Read() error {
+	list, err := topups.Read(p.set.Topups)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	p.core.Post(func() { done <- p.book.Fund(p.core.Now(), list) })
+	return <-done
+}
+
+// Reserve implements core.Funds.
+func (p *Purse) Reserve(q *core.Request) (core.Payment, error) {
+	if q.Account == "" && p.set.Unnamed {
+		return nil, nil
+	}
+	most := p.set.Most
+	t, err := p.book.Reserve(p.core.Now(), q.Account, q.Class, most)
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Settle implements core.Funds.
+func (p *Purse) Settle(pay core.Payment, ran bool, bytes int) {
+	t, ok := pay.(credit.Ticket)
+	switch {
+	case !ok: // it was free
+	case ran:
+		p.book.Charge(t, bytes)
+	default:
+		p.book.Return(t)
+	}
+}
+
+// Later implements core.Funds.
+func (p *Purse) Later(err error) (wait time.Duration, reason string) {
+	var (
+		out    credit.FundsOut
+		paced  credit.Paced
+		moving credit.Moving
+		nobody credit.NoAccount
+	)
+	switch {
+	case errors.As(err, &out):
+		return out.Later, "funds-out"
+	case errors.As(err, &paced):
+		return paced.Later, "funds-low"
+	case errors.As(err, &moving):
+		return moving.Later, "funds-moving"
+	case errors.As(err, &nobody):
+		return 0, "no-account"
+	}
+	return time.Second, "credit"
+}
+
+// Close implements core.Funds: what is free goes back to the ledger. It waits for the disk, as the router ends.
+func (p *Purse) Close() {
+	p.book.Close()
+	if p.writing != nil { // what is on its way comes first
+		p.book.Written(p.core.Now(), p.writing, <-p.results)
+		p.writing = nil
+	}
+	var all []ledger.Line
+	for _, e := range p.book.Write() {
+		all = append(all, ledger.Line(e))
+	}
+	if len(all) > 0 {
+		if err := p.ledger.Write(all); err != nil {
+			slog.Error("credit not brought back", "err", err)
+		}
+	}
+	_ = p.ledger.Close() // all is written, or was told
+}
+
+// Figures implements core.Funds.
+func (p *Purse) Figures() []core.Figure { return p.figures }
+
+func figures(t credit.Totals, accounts []credit.Standing) []core.Figure {
+	out := []core.Figure{
+		{Name: "credit_charged", Help: "Charged by this router, in millionths.", Value: uint64(t.Charged), Counts: true},
+		{Name: "credit_given", Help: "Rights given to other routers, in millionths.", Value: uint64(t.Given), Counts: true},
+		{Name: "credit_taken", Help: "Rights taken from other routers, in millionths.", Value: uint64(t.Taken), Counts: true},
+		{Name: "credit_refused_out", Help: "Requests refused as funds are out.", Value: t.Out, Counts: true},
+		{Name: "credit_refused_low", Help: "Requests refused as funds are low and paced.", Value: t.Paced, Counts: true},
+		{Name: "credit_refused_moving", Help: "Requests refused as rights were on their way.", Value: t.Moving, Counts: true},
+	}
+	levels, held := [3]uint64{}, int64(0)
+	for _, a := range accounts {
+		levels[a.Level]++
+		held += max(a.Rights, 0) + a.Free + a.Held
+	}
+	for l := credit.Ample; l <= credit.Out; l++ {
+		out = append(out, core.Figure{Name: "credit_accounts_" + l.String(), Help: "Accounts that stand so with this router.", Value: levels[l]})
+	}
+	return append(out, core.Figure{Name: "credit_held", Help: "Rights that this router holds, in millionths.", Value: uint64(held)})
+}
--- a/internal/rpcwire/client.go
+++ b/internal/rpcwire/client.go
@@ -160,6 +160,7 @@
 	Item    uint64
 	Nth     uint64
 	Batch   uint8
+	Account string // that pays; empty: none is named
 	Resumes uint64 // the txn of the same request, whose router was lost; 0: none
 	Got     string // tag of the copy that the client holds; empty: none
 	Body    []byte
@@ -171,6 +172,9 @@
 	if q.Second {
 		fields++
 	}
+	if q.Account != "" {
+		fields++
+	}
 	if q.Resumes != 0 {
 		fields++
 	}
@@ -187,6 +191,9 @@
 	if q.Second {
 		b = appendText(appendText(b, "second"), "1")
 	}
+	if q.Account != "" {
+		b = appendText(appendText(b, "account"), q.Account)
+	}
 	if q.Resumes != 0 {
 		b = appendHex(appendText(b, "resumes"), q.Resumes)
 	}
--- a/internal/rpcwire/codec.go
+++ b/internal/rpcwire/codec.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"strconv"
 )
 
 // errShort says that the message is not whole yet; every other error, that it never will be a message.
@@ -36,7 +37,7 @@
 }
 
 // Fields are the known fields of a call and, the last two, of an answer.
-type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, Second, Resumes, OK304, Later []byte }
+type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, Second, Resumes, Account, OK304, Later, Reason []byte }
 
 func (f *Fields) slot(name []byte) *[]byte {
 	switch string(name) {
@@ -56,6 +57,10 @@
 		return &f.Second
 	case "resumes":
 		return &f.Resumes
+	case "account":
+		return &f.Account
+	case "reason":
+		return &f.Reason
 	case "ok304":
 		return &f.OK304
 	case "later":
@@ -371,6 +376,26 @@
 	return append(b, 0xc0)
 }
 
+// AppendRefused appends the answer that a request was refused, and never ran: with how many milliseconds to stay away, or
+// 0, and why, or nothing where it is load.
+func AppendRefused(b []byte, id uint64, later int64, reason string) []byte {
+	fields := byte(0x80)
+	if later > 0 {
+		fields++
+	}
+	if reason != "" {
+		fields++
+	}
+	b = append(appendText(append(appendHead(b, id), 0x92), Throttled), fields)
+	if later > 0 {
+		b = appendText(appendText(b, "later"), strconv.FormatInt(later, 10))
+	}
+	if reason != "" {
+		b = appendText(appendText(b, "reason"), reason)
+	}
+	return append(b, 0xc0)
+}
+
 // AppendHealth appends the answer to a call for health.
 func AppendHealth(b []byte, id uint64, ok bool) []byte {
 	b = append(appendHead(b, id), 0xc0, 0x92, 0xc2)
--- a/internal/takeover/message.go
+++ b/internal/takeover/message.go
@@ -70,7 +70,7 @@
 }
 
 func (o *Order) sane() bool {
-	return len(o.Txn) <= txnMost && len(o.Class) <= 64 && len(o.Item) <= 64 && len(o.Body) <= BodyMost && o.Left >= 0 && o.Left <= time.Hour
+	return len(o.Txn) <= txnMost && len(o.Class) <= 64 && len(o.Item) <= 64 && len(o.Account) <= 128 && len(o.Body) <= BodyMost && o.Left >= 0 && o.Left <= time.Hour
 }
 
 func (o *Outcome) sane() bool {
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -74,16 +74,17 @@
 
 // Order is what is to be run once.
 type Order struct {
-	_      struct{} `cbor:",toarray"`
-	Txn    string
-	Class  string
-	Item   string
-	Part   uint64
-	Group  uint64
-	Digest [32]byte      // of all that the client asked for
-	Left   time.Duration // until its client gives up
-	Body   []byte        // where Whole is set
-	Whole  bool          // the body is here: with it another router can run the order without its client
+	_       struct{} `cbor:",toarray"`
+	Txn     string
+	Class   string
+	Item    string
+	Account string
+	Part    uint64
+	Group   uint64
+	Digest  [32]byte      // of all that the client asked for
+	Left    time.Duration // until its client gives up
+	Body    []byte        // where Whole is set
+	Whole   bool          // the body is here: with it another router can run the order without its client
 }
 
 // Kind says what became of an order.
--- a/lab/outlive.go
+++ b/lab/outlive.go
@@ -65,7 +65,7 @@
 		block = "  takeover {\n    strict = true\n  }\n"
 	}
 	set := Setup{Routers: routers, Later: true, Caches: 4, Beside: routers, Cold: 1000, Answer: o.book.answer, Log: log}
-	if err := t.start(bin, set, block); err != nil {
+	if err := t.start(bin, set, func(int) string { return block }); err != nil {
 		t.Close()
 		return nil, err
 	}
--- a/lab/together.go
+++ b/lab/together.go
@@ -165,7 +165,7 @@
 		shares = fmt.Sprintf("  cold {\n    rate  = %g\n    burst = %g\n  }\n  retries {\n    rate  = %g\n    burst = %g\n  }\n",
 			coldRate, max(coldBurst, 2*float64(routers)), retryRate, max(retryBurst, 2*float64(routers)))
 	}
-	if err := t.start(bin, set, shares); err != nil || !talk {
+	if err := t.start(bin, set, func(int) string { return shares }); err != nil || !talk {
 		return t, err
 	}
 	time.Sleep(3 * time.Second) // no loan of before can run
@@ -173,7 +173,7 @@
 }
 
 // start starts the fleet, whose routers talk where there is something to put into the block fleet of their operator's file.
-func (t *Talkers) start(bin string, set Setup, blocks string) (err error) {
+func (t *Talkers) start(bin string, set Setup, blocks func(i int) string) (err error) {
 	set.Operator = func(i int, ip string) string {
 		var peers []string
 		for o := range set.Routers {
@@ -186,11 +186,12 @@
 			return "# " + err.Error() // without a door it talks to nobody, which the checks find
 		}
 		text := fmt.Sprintf("ops = \"%s:7055\"\n", ip)
-		if blocks == "" {
+		block := blocks(i)
+		if block == "" {
 			return text
 		}
 		return text + fmt.Sprintf("fleet {\n  listen    = %q\n  advertise = %q\n  peers     = [%s]\n  key_file  = %q\n  size      = %d\n%s}\n",
-			to, doorOf(i), strings.Join(peers, ", "), t.keys, set.Routers, blocks)
+			to, doorOf(i), strings.Join(peers, ", "), t.keys, set.Routers, block)
 	}
 	t.Fleet, err = StartFleet(bin, set)
 	return err
