Start three routers that talk, with balances, by make run-fleet; keep some credit at hand everywhere

Need: tried as a new user, two routers from the example could not stand side by side, and nothing showed a fleet. The first request to a router with all its rights in the ledger was refused as funds-moving (66 ms, three tries): nothing was drawn before somebody had asked. Now what pays for two requests is kept in memory at each router (internal/credit, ready).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run hillknot.
 
-.PHONY: build test lint run measure-clients measure-together measure-outlive bench
+.PHONY: build test lint run measure-clients measure-together measure-outlive run-fleet bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/... && go build -tags talk -o bin/hillknot-talk ./cmd/hillknot
@@ -19,6 +19,11 @@
 	@go build -o bin/toy ./example/toy
 	@bin/toy & trap "kill $$!" EXIT; bin/hillknot -config example/config.json
 
+# Three routers that talk, the toy server and accounts with funds, on loopback; README, 'Try a fleet'.
+run-fleet: build
+	@go build -o bin/ ./example/toy ./example/fleet
+	@bin/fleet -dir bin/three
+
 # The tables of docs/client.md, in some five minutes. Nothing else should run beside it.
 measure-clients: build
 	bin/hillknot-lab clients
--- a/cmd/hillknot/ask.go
+++ b/cmd/hillknot/ask.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"hillknot/client"
+	"hillknot/client/policy"
 )
 
 // askFlags are those of the commands that send a request.
@@ -25,6 +26,8 @@
 	deadline time.Duration
 	group    uint8
 	json     bool
+	account  string
+	claim    bool
 }
 
 func (f *askFlags) add(cmd *cobra.Command, class string) {
@@ -32,6 +35,8 @@
 	cmd.Flags().StringVar(&f.class, "class", class, "of the request")
 	cmd.Flags().DurationVar(&f.deadline, "deadline", 0, "over all tries (default: that of the class)")
 	cmd.Flags().Uint8Var(&f.group, "group", 0, "of the object")
+	cmd.Flags().StringVar(&f.account, "account", "", "that pays, where routers hold requests to balances")
+	cmd.Flags().BoolVar(&f.claim, "claim", false, "ask another router what became of an order whose router was lost; all must keep orders")
 	cmd.Flags().BoolVar(&f.json, "json", false, "print one line with outcome, tries and milliseconds")
 	_ = cmd.MarkFlagRequired("router") // fails for unknown flags only
 	_ = cmd.RegisterFlagCompletionFunc("class", func(*cobra.Command, []string, string) ([]string, cobra.ShellCompDirective) {
@@ -54,7 +59,9 @@
 		}
 		classes[f.class] = client.Class{Safe: safe, Limit: limit}
 	}
-	c, err := client.New(client.Config{Routers: f.routers, Classes: classes})
+	set := policy.Defaults()
+	set.Seed, set.Claims = uint64(time.Now().UnixNano())^uint64(os.Getpid())<<32, f.claim
+	c, err := client.New(client.Config{Routers: f.routers, Classes: classes, Account: f.account, Policy: &set})
 	if err != nil {
 		return nil, usage{err}
 	}
--- a/cmd/hillknot/talk.go
+++ b/cmd/hillknot/talk.go
@@ -82,11 +82,11 @@
 func openPurse(cfg *config.Config, c *core.Core, m *members.Members) (*purse.Purse, error) {
 	f := cfg.Fleet
 	set := credit.Defaults(cfg.Name, f.State.Process, "")
-	set.Rest, set.Chunk, set.Prices = f.Credit.Rest, f.Credit.Chunk, map[string]credit.Price{}
+	set.Rest, set.Chunk, set.Answer, set.Prices = f.Credit.Rest, f.Credit.Chunk, cfg.Limits.Object, map[string]credit.Price{}
 	for class, p := range f.Credit.Prices {
 		set.Prices[class] = credit.Price{Each: micro(p.Each), PerMB: micro(p.PerMB), Worth: p.Worth}
 	}
-	return purse.Open(c, f.Ledger, set, purse.Settings{Topups: f.Credit.Topups, Unnamed: f.Credit.Unnamed, Most: cfg.Limits.Object}, m)
+	return purse.Open(c, f.Ledger, set, purse.Settings{Topups: f.Credit.Topups, Unnamed: f.Credit.Unnamed}, m)
 }
 
 // micro is an amount of credits in millionths.
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -18,9 +18,10 @@
 func main() {
 	journal := flag.String("journal", "127.0.0.1:7010", "address of the journal service")
 	caches := flag.String("caches", "127.0.0.2:7001,127.0.0.3:7001", "addresses of the page caches")
+	work := flag.Duration("work", 0, "how long an order takes")
 	flag.Parse()
 	for _, addr := range strings.Split(*caches, ",") {
-		c := &cache{held: map[string]bool{}}
+		c := &cache{held: map[string]bool{}, work: *work}
 		if _, err := standin.NewCache(addr, c.answer); err != nil {
 			log.Fatal(err)
 		}
@@ -38,6 +39,7 @@
 type cache struct {
 	mu   sync.Mutex
 	held map[string]bool
+	work time.Duration
 }
 
 func (c *cache) answer(a standin.Ask) standin.Reply {
@@ -54,6 +56,10 @@
 		}
 	}
 	log.Printf("%s %s: %s", f["kind"], part, note)
-	return standin.Reply{Word: "DONE", Fields: "res=" + note + ",version=" + f["obj"] + ",stamp=" + strconv.FormatInt(time.Now().UnixMilli(), 10),
+	after := time.Duration(0)
+	if f["kind"] == "new-arrange" {
+		after = c.work
+	}
+	return standin.Reply{Word: "DONE", After: after, Fields: "res=" + note + ",version=" + f["obj"] + ",stamp=" + strconv.FormatInt(time.Now().UnixMilli(), 10),
 		Body: []byte("score " + part + "\n")}
 }
--- a/internal/credit/book.go
+++ b/internal/credit/book.go
@@ -306,13 +306,13 @@
 }
 
 // Reserve sets aside what a request may cost at most. An error says why it can't be taken: it never ran.
-func (b *Book) Reserve(now time.Duration, name, class string, bytesMost int) (Ticket, error) {
+func (b *Book) Reserve(now time.Duration, name, class string) (Ticket, error) {
 	a := b.accounts[name]
 	if a == nil {
 		return Ticket{}, NoAccount{name}
 	}
 	price := b.set.Prices[class]
-	n := price.Of(bytesMost)
+	n := price.Of(b.set.Answer)
 	switch {
 	case n == 0:
 		return Ticket{Account: name, price: price}, nil
@@ -384,6 +384,15 @@
 	b.change(func(time.Duration) { a.draw, a.free = a.draw-n, a.free+n }, "account/"+a.name)
 }
 
+// ready is what is kept in memory even where nobody asks: enough for the next two requests, so that these need not wait for
+// the disk.
+func (b *Book) ready(a *account) (n int64) {
+	for _, p := range b.set.Prices {
+		n = max(n, 2*p.Of(b.set.Answer))
+	}
+	return min(n, max(a.line.Rights-a.wait, 0)+a.free+a.draw)
+}
+
 // Close brings what is free back to the ledger. Nothing is reserved any more after it.
 func (b *Book) Close() {
 	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
@@ -455,11 +464,12 @@
 		a.spent = 0
 		b.look(now, a)
 		need := int64(math.Ceil(a.rate * b.set.Chunk.Seconds()))
-		if a.free < need/2 || a.denied {
-			b.draw(a, need)
+		ready := b.ready(a)
+		if a.free+a.draw < max(need/2, ready) || a.denied {
+			b.draw(a, max(need, ready))
 		}
-		if a.free > 4*need && a.rate == 0 {
-			b.bringBack(a, 0) // nobody uses it here
+		if a.free > 4*max(need, ready) && a.rate == 0 {
+			b.bringBack(a, ready) // nobody uses it here
 		}
 		if b.own(a) < 2*need || a.denied && a.line.Rights <= a.wait {
 			b.beg(now, a)
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -25,11 +25,12 @@
 	Chunk    time.Duration    // what is spent in so long is drawn from the ledger at a time
 	Beat     time.Duration
 	Accounts int // that are known, at most
+	Answer   int // bytes of the largest answer
 }
 
 // Defaults returns settings without prices.
 func Defaults(self string, process uint64, ledger string) Settings {
-	return Settings{Self: self, Process: process, Ledger: ledger, Rest: 30 * time.Second, Chunk: time.Second, Beat: 200 * time.Millisecond, Accounts: 10_000}
+	return Settings{Self: self, Process: process, Ledger: ledger, Rest: 30 * time.Second, Chunk: time.Second, Beat: 200 * time.Millisecond, Accounts: 10_000, Answer: 240_000}
 }
 
 // Price is what a request of a class costs, in millionths of a credit.
--- a/internal/credit/sim_test.go
+++ b/internal/credit/sim_test.go
@@ -93,7 +93,7 @@
 	r.process, r.down, r.stopped, r.writing, r.open = f.made, false, 0, nil, nil
 	r.offset = time.Duration(f.rnd.Int64N(int64(time.Hour))) // its clock may be behind that of the process before
 	set := Defaults(r.name, r.process, r.ledger)
-	set.Prices = f.prices
+	set.Prices, set.Answer = f.prices, 20_000
 	var lines []Entry
 	for _, key := range slices.Sorted(maps.Keys(r.disk)) {
 		lines = append(lines, Entry{key, r.disk[key]})
@@ -203,7 +203,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.demand)) {
 		for r.owed[name] = min(r.owed[name]+r.demand[name]/200, 20); r.owed[name] >= 1; r.owed[name]-- {
-			ticket, err := r.book.Reserve(now, name, r.class, 20_000)
+			ticket, err := r.book.Reserve(now, name, r.class)
 			if err != nil {
 				r.refused[name]++
 				continue
--- a/internal/purse/purse.go
+++ b/internal/purse/purse.go
@@ -25,7 +25,6 @@
 type Settings struct {
 	Topups  string // the file
 	Unnamed bool   // requests without an account are free
-	Most    int    // bytes of the largest answer
 }
 
 // Purse implements core.Funds. All its methods but Read and Run belong to the core's goroutine.
@@ -188,8 +187,7 @@
 	if q.Account == "" && p.set.Unnamed {
 		return nil, nil
 	}
-	most := p.set.Most
-	t, err := p.book.Reserve(p.core.Now(), q.Account, q.Class, most)
+	t, err := p.book.Reserve(p.core.Now(), q.Account, q.Class)
 	if err != nil {
 		return nil, err
 	}
