--- a/internal/credit/book.go
+++ b/internal/credit/book.go
@@ -72,6 +72,7 @@
 	rate    float64 // spent a second, of late
 	spent   int64   // since the latest beat
 	level   Level
+	pace    float64 // a second, while it is low
 	bucket  float64 // of the pace
 	at      time.Duration
 	denied  bool // something was, since the latest beat
@@ -314,11 +315,13 @@
 	price := b.set.Prices[class]
 	n := price.Of(b.set.Answer)
 	switch {
+	case b.stale(): // what it has drawn before it heard that may be spent already, too
+		return Ticket{}, b.stopped
 	case n == 0:
 		return Ticket{Account: name, price: price}, nil
 	case a.free < n:
 		a.denied = true
-		b.draw(a, n)
+		b.draw(a, ahead*n)
 		return Ticket{}, b.lacking(now, a, n)
 	case a.level == Low && !b.paced(now, a, price, n):
 		b.Totals.Paced++
@@ -327,14 +330,18 @@
 	}
 	a.free, a.held = a.free-n, a.held+n
 	a.spent += n
+	if need := int64(a.rate * b.set.Chunk.Seconds()); a.free+a.draw < max(need/2, ahead/2*n) { // the next ones come before the beat
+		b.draw(a, max(need, ahead*n))
+	}
 	return Ticket{name, price, n}, nil
 }
 
+// ahead is how many requests are drawn for at least, once an account is in use.
+const ahead = 16
+
 // lacking is why nothing can be reserved now.
 func (b *Book) lacking(now time.Duration, a *account, n int64) error {
 	switch own := b.own(a); {
-	case b.stale():
-		return b.stopped
 	case own >= n && b.failed != nil:
 		return b.failed
 	case own >= n, own+b.elsewhere(now, a.name) >= n:
@@ -437,12 +444,11 @@
 
 // burst is what may be spent at once where it is paced: that of a second, or one request.
 func (b *Book) burst(a *account, n int64) float64 {
-	return max(float64(b.own(a))/b.set.Rest.Seconds(), 2*float64(n))
+	return max(a.pace, 2*float64(n))
 }
 
 func (b *Book) fill(now time.Duration, a *account, n int64) {
-	pace := float64(b.own(a)) / b.set.Rest.Seconds()
-	a.bucket = min(a.bucket+pace*max(now-a.at, 0).Seconds(), b.burst(a, n))
+	a.bucket = min(a.bucket+a.pace*max(now-a.at, 0).Seconds(), b.burst(a, n))
 	a.at = max(a.at, now)
 }
 
@@ -491,9 +497,11 @@
 		a.level = Ample
 	default:
 		if a.level != Low {
-			a.bucket, a.at = 0, now
+			a.bucket, a.at, a.pace = 0, now, 0
 		}
 		a.level = Low
+		// It stays as it was: what is left lasts for the time that is set, and is then used up.
+		a.pace = max(a.pace, float64(b.own(a))/b.set.Rest.Seconds())
 	}
 }
 
--- a/lab/credit.go
+++ b/lab/credit.go
@@ -288,8 +288,64 @@
 	return rows, nil
 }
 
+// pages is how many pages a second some clients get from the fleet, one after the other, on an account or none.
+func (o *Outlivers) pages(account string, clients int, over time.Duration) (float64, error) {
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	var ws []*payer
+	for i := range clients {
+		set := policy.Defaults()
+		set.Seed = uint64(i) + 1
+		w := &payer{}
+		var err error
+		if w.c, err = client.New(client.Config{Routers: o.addrs(), Account: account, Policy: &set}); err != nil {
+			close(stop)
+			return 0, err
+		}
+		ws = append(ws, w)
+		all.Go(func() { w.run(stop, rand.New(rand.NewPCG(set.Seed, 6)), 0) })
+	}
+	time.Sleep(over / 4)
+	for _, w := range ws {
+		w.take()
+	}
+	time.Sleep(over)
+	n := 0
+	for _, w := range ws {
+		n += w.take()
+	}
+	close(stop)
+	all.Wait()
+	for _, w := range ws {
+		_ = w.c.Close(context.Background()) // all has ended
+	}
+	return float64(n) / over.Seconds(), nil
+}
+
 // Credit measures prepaid balances, and writes the table.
 func Credit(bin string, routers int, each time.Duration, seed uint64, to io.Writer) error {
+	off, err := NewOutlivers(bin, routers, false, "", seed)
+	if err != nil {
+		return err
+	}
+	off.book.quick = true
+	free, err := off.pages("", 64, each)
+	off.Close()
+	if err != nil {
+		return err
+	}
+	on, err := NewPayers(bin, routers, map[string]float64{"rich": 1e9}, seed)
+	if err != nil {
+		return err
+	}
+	on.book.quick = true
+	time.Sleep(time.Second) // all are born
+	paid, err := on.pages("rich", 64, each)
+	on.Close()
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(to, "pages a second of 64 clients, one after the other: %.0f free, %.0f paid for, %.3f\n", free, paid, paid/free)
 	p, err := NewPayers(bin, routers, map[string]float64{"poor": 100, "rich": 1e6}, seed)
 	if err != nil {
 		return err
--- a/lab/outlive.go
+++ b/lab/outlive.go
@@ -23,10 +23,11 @@
 
 // orderBook is what the stand-in page caches saw of orders.
 type orderBook struct {
-	mu   sync.Mutex
-	asks map[string]int // by object
-	work time.Duration  // that an order takes, at least
-	rnd  *rand.Rand
+	mu    sync.Mutex
+	asks  map[string]int // by object
+	work  time.Duration  // that an order takes, at least
+	quick bool           // pages are answered at once, and small
+	rnd   *rand.Rand
 }
 
 func (b *orderBook) answer(_ int, a standin.Ask) standin.Reply {
@@ -34,6 +35,9 @@
 	defer b.mu.Unlock()
 	fields := fmt.Sprintf("res=cached,version=1,stamp=%d", time.Now().UnixMilli())
 	if a.Fields["kind"] != "new-arrange" {
+		if b.quick {
+			return standin.Reply{Word: "DONE", Body: make([]byte, 64), Fields: fields}
+		}
 		return standin.Reply{Word: "DONE", Body: make([]byte, 1<<10), After: 20 * time.Millisecond, Fields: fields}
 	}
 	b.asks[a.Fields["obj"]]++
