--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -189,12 +189,14 @@
 	start := time.Now()
 	c.Post(c.Stop)
 	for ; time.Since(start) < lim.Finish; time.Sleep(10 * time.Millisecond) {
-		open, followed := make(chan int, 1), c.Snapshot().Followed
-		c.Post(func() { open <- c.Open() })
+		empty, followed := make(chan bool, 1), c.Snapshot().Followed
 		if followed {
 			front.StopAccepting()
 		}
-		if n := <-open; n == 0 && (followed && front.Conns() == 0 || !followed && time.Since(start) > lim.Linger) {
+		if followed && front.Conns() > 0 || !followed && time.Since(start) <= lim.Linger {
+			continue
+		}
+		if c.Post(func() { empty <- c.Empty() }); <-empty {
 			break
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -142,6 +142,7 @@
 	held     bool // not to take clients yet
 	standby  bool
 	stopping bool
+	empty    bool // it ends, and takes nothing more
 	followed bool
 	left     time.Duration // when it began to leave its clients
 	maxWait  time.Duration // the longest that a refused client may be told to stay away
@@ -322,7 +323,7 @@
 		left = min(left, c.last()-c.now)
 	}
 	switch {
-	case len(c.open) >= c.lim.Open || c.Leaving() >= Refuse:
+	case len(c.open) >= c.lim.Open || c.empty || c.Leaving() >= Refuse:
 		c.reply(&q, Answer{Verdict: Refused, Wait: c.maxWait})
 		return
 	case left <= 0:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -349,6 +349,25 @@
 
 // A request open as SIGTERM comes ends, answered, before the platform may kill the process, though its client would
 // wait longer: on the second deployment an episode's part waits 6 s, and the kill comes 3.7 s after SIGTERM.
+// A router that ends refuses at once what comes once nothing is open any more: it could not answer it.
+func TestNothingIsTakenAtTheEnd(t *testing.T) {
+	r := newRig(t)
+	r.c.lim.Finish = 3 * second
+	r.c.Stop()
+	r.submit("page", second)
+	if r.c.Empty() {
+		t.Fatal("it is empty with a request open")
+	}
+	r.end(r.out[0], End{Status: brain.OK})
+	if len(r.answers) != 1 || !r.c.Empty() {
+		t.Fatalf("%d answers, then not empty", len(r.answers))
+	}
+	r.submit("page", second)
+	if len(r.out) > 0 || len(r.answers) != 2 || r.answers[1].Verdict != Refused {
+		t.Errorf("%d sent, answers %+v", len(r.out), r.answers)
+	}
+}
+
 func TestOpenAtStopEndsInTime(t *testing.T) {
 	r := newRig(t)
 	r.c.lim.Finish = 3 * second
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// Empty tells whether nothing is open, and if so has the core take nothing from then on: a router that ends writes its last
+// answers, and what came in meanwhile could get none. It is refused at once instead.
+func (c *Core) Empty() bool {
+	c.empty = c.empty || c.Open() == 0
+	return c.empty
+}
+
 // last is when what is open must have ended, in a router that ends.
 func (c *Core) last() time.Duration { return c.left + c.lim.Finish - c.lim.Overhang }
 
--- a/lab/outlive.go
+++ b/lab/outlive.go
@@ -466,3 +466,28 @@
 			r.May, r.Other, r.Twice, r.Contradict, r.ReadsServed, r.Reads, r.Kills, r.OpenReadsAnswered, r.OpenReads, r.OpenUnsentAnswered, r.OpenUnsent, r.MayUn, r.OpenSentAnswered, r.OpenSent)
 	}
 }
+
+// Roll restarts one router after the other on SIGTERM under load, without talk, and counts what its clients got. With
+// alone, the journal service is down meanwhile.
+func Roll(bin string, routers int, alone bool, seed uint64) (OutliveRow, error) {
+	o, err := NewOutlivers(bin, routers, false, "", seed)
+	if err != nil {
+		return OutliveRow{}, err
+	}
+	defer o.Close()
+	if alone {
+		o.journal.Close()
+	}
+	return o.Under("rolling restart", 16, func(func(...int)) error {
+		for _, r := range o.Routers {
+			r.Signal(syscall.SIGTERM)
+			if err := r.cmd.Wait(); err != nil { // anything but exit 0
+				return fmt.Errorf("%s: %w", r.Addr, err)
+			}
+			if err := r.Start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
