--- a/lab/credit.go
+++ b/lab/credit.go
@@ -53,7 +53,7 @@
 	err = p.write(p.topups, p.lines)
 	if err == nil {
 		block := func(i int) string {
-			return fmt.Sprintf("  ledger = %q\n  credit {\n    topups = %q\n    rest_s = 2\n    chunk_ms = 250\n    prices {\n      part-page {\n        each = %d\n      }\n      new-arrange {\n        each = %d\n      }\n    }\n  }\n",
+			return fmt.Sprintf("  takeover {\n    strict = true\n  }\n  ledger = %q\n  credit {\n    topups = %q\n    rest_s = 2\n    chunk_ms = 250\n    prices {\n      part-page {\n        each = %d\n      }\n      new-arrange {\n        each = %d\n      }\n    }\n  }\n",
 				filepath.Join(dir, fmt.Sprintf("%d.ledger", i)), p.topupsOf(i), pagePrice, orderPrice)
 		}
 		set := Setup{Routers: routers, Later: true, Caches: 4, Beside: routers, Cold: 1000, Answer: p.book.answer}
@@ -150,13 +150,14 @@
 	Funded, Spent   float64 // of the account that ran out, since the fleet's start; spent is what clients were served
 	Over            float64 // the highest of spent over funded, of any account
 	Served, Refused int
+	Twice           int     // orders that ran more than once
 	Left            int     // served in a second after half a second without any, of what was left
 	Stranded        float64 // of what was funded, what nobody could spend in the end
 	Beside          float64 // what an account with funds was served, over what it was before the other ran out
 }
 
-// Broken tells whether more was spent than was funded.
-func (r PayRow) Broken() bool { return r.Over > 1 }
+// Broken tells whether more was spent than was funded, or an order ran twice.
+func (r PayRow) Broken() bool { return r.Over > 1 || r.Twice > 0 }
 
 // Under has clients of two accounts ask while something is done, one with plenty and one whose funds run out, until that
 // one has been served nothing for a while.
@@ -172,7 +173,7 @@
 		}
 		p.made++
 		set := policy.Defaults()
-		set.Seed = p.seed<<32 + p.made
+		set.Seed, set.Claims = p.seed<<32+p.made, true
 		w := &payer{order: i%3 == 0}
 		if w.c, err = client.New(client.Config{Routers: p.addrs(), Account: account, Policy: &set}); err != nil {
 			close(stop)
@@ -213,6 +214,11 @@
 		}
 		row.Over = math.Max(row.Over, p.spent[account]/p.funded[account])
 	}
+	p.book.mu.Lock()
+	for _, n := range p.book.asks {
+		row.Twice += one(n > 1)
+	}
+	p.book.mu.Unlock()
 	row.Funded, row.Spent = p.funded["poor"], p.spent["poor"]
 	row.Stranded = 1 - row.Spent/row.Funded
 	return row, err
@@ -352,9 +358,9 @@
 	}
 	defer p.Close()
 	rows, err := p.PayFaults(each, 12, 1500, nil)
-	_, _ = fmt.Fprintf(to, "| fault | funded so far | spent so far | most of spent over funded | stranded | served in a second after half a second of none | the other account, over before | served | refused |\n|%s\n", strings.Repeat("---|", 9))
+	_, _ = fmt.Fprintf(to, "| fault | funded so far | spent so far | most of spent over funded | stranded | served in a second after half a second of none | the other account, over before | served | refused | orders twice |\n|%s\n", strings.Repeat("---|", 10))
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(to, "| %s | %.0f | %.0f | %.4f | %.4f | %d | %.2f | %d | %d |\n", r.Fault, r.Funded, r.Spent, r.Over, r.Stranded, r.Left, r.Beside, r.Served, r.Refused)
+		_, _ = fmt.Fprintf(to, "| %s | %.0f | %.0f | %.4f | %.4f | %d | %.2f | %d | %d | %d |\n", r.Fault, r.Funded, r.Spent, r.Over, r.Stranded, r.Left, r.Beside, r.Served, r.Refused, r.Twice)
 	}
 	return err
 }
