--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -161,6 +161,7 @@
 	last  uint64
 	asks  uint64 // questions so far
 	done  []Done
+	names []string // of peers, in order; nil: to be made anew
 }
 
 // New returns the post of a process that has just started.
@@ -185,9 +186,10 @@
 			return nil
 		}
 		delete(p.peers, old.name)
+		p.names = nil
 	}
 	o := &peer{name: name, heard: now, seen: map[uint64][]byte{}}
-	p.peers[name] = o
+	p.peers[name], p.names = o, nil
 	return o
 }
 
@@ -328,11 +330,14 @@
 
 // Beat gives up what nobody has answered in time. It is due every few milliseconds; one that comes late does no harm.
 func (p *Post) Beat(now time.Duration) {
-	for _, id := range slices.Sorted(maps.Keys(p.where)) {
-		o := p.where[id]
-		if i := slices.IndexFunc(o.out, func(s *sent) bool { return s.id == id }); now >= o.out[i].until {
-			p.take(o, id)
-			p.done = append(p.done, Done{ID: id, To: o.name, Err: Unheld{o.name}})
+	for _, name := range p.names {
+		o := p.peers[name]
+		for i := 0; i < len(o.out); i++ {
+			if s := o.out[i]; now >= s.until {
+				p.take(o, s.id)
+				p.done = append(p.done, Done{ID: s.id, To: o.name, Err: Unheld{o.name}})
+				i--
+			}
 		}
 	}
 }
@@ -346,7 +351,10 @@
 
 // Out returns the packets that are due: all that goes to one router together, as far as it fits.
 func (p *Post) Out(now time.Duration) (out []Packet) {
-	for _, name := range slices.Sorted(maps.Keys(p.peers)) {
+	if p.names == nil {
+		p.names = slices.Sorted(maps.Keys(p.peers))
+	}
+	for _, name := range p.names {
 		o := p.peers[name]
 		if len(o.out) == 0 && len(o.answers) == 0 && o.ask == 0 && len(o.echoes) == 0 && !o.poke {
 			continue
