--- a/internal/takeover/script_test.go
+++ b/internal/takeover/script_test.go
@@ -223,6 +223,49 @@
 			t.Errorf("ran %d times:\n%s", o.ran, timeline.Sort(s.line).About(o.txn).Draw())
 		}
 	})
+	t.Run("told as may have run for good", func(t *testing.T) {
+		s := newScene(t, 4)
+		o := s.order(2500 * ms)
+		s.pass(50 * ms)
+		r := s.routers[0]
+		r.table.Ask(r.clock(s.now), o.txn)
+		for s.now < 6*time.Second && !slices.ContainsFunc(s.line, func(e timeline.Event) bool { return e.What == "may kept" }) {
+			s.step()
+		}
+		s.stop(r, 500*ms)
+		k, other := s.keeper()
+		s.claimAt(other, o, 1)
+		s.pass(500*ms - 30*ms)
+		s.told(o, MayHaveRun, 0)
+		s.end(r, r.jobs[o.txn], Outcome{Kind: NeverRan}) // true, and too late: another was told that it may have run
+		s.pass(60 * ms)
+		o.done, o.told = false, nil
+		s.claimAt(s.routers[6-k.i-other.i], o, 1)
+		s.pass(300 * ms)
+		s.told(o, MayHaveRun, 0)
+	})
+	t.Run("forgotten too soon", func(t *testing.T) {
+		s := newScene(t, 3)
+		o := s.order(2500 * ms)
+		s.ask(s.routers[0], o)
+		s.served(s.routers[0], o)
+		o.done, o.told = false, nil
+		for range 310 { // the record of the first makes room
+			s.order(2 * time.Second)
+		}
+		s.pass(100 * ms)
+		for _, j := range s.routers[0].jobs {
+			s.end(s.routers[0], j, Outcome{Kind: NeverRan})
+		}
+		s.pass(300 * ms)
+		s.order(2 * time.Second)
+		s.pass(100 * ms)
+		s.kill(s.routers[0])
+		_, other := s.keeper()
+		s.claimAt(other, o, 1)
+		s.pass(time.Second)
+		s.told(o, MayHaveRun, 1)
+	})
 	t.Run("another's order", func(t *testing.T) {
 		s := newScene(t, 4)
 		o := s.order(2 * time.Second)
