--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -229,14 +229,6 @@
 	return s
 }
 
-// Process is the number of a router's process, as far as it was heard of; 0: not yet.
-func (p *Post) Process(name string) uint64 {
-	if o := p.peers[name]; o != nil {
-		return o.process
-	}
-	return 0
-}
-
 // Take reads a packet and returns what came with it for the first time. What makes no sense is passed over.
 func (p *Post) Take(now time.Duration, data []byte) (in []Arrival) {
 	var w wire
