--- a/internal/takeover/script_test.go
+++ b/internal/takeover/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -254,8 +255,8 @@
 			s.order(2 * time.Second)
 		}
 		s.pass(100 * ms)
-		for _, j := range s.routers[0].jobs {
-			s.end(s.routers[0], j, Outcome{Kind: NeverRan})
+		for _, txn := range slices.Sorted(maps.Keys(s.routers[0].jobs)) {
+			s.end(s.routers[0], s.routers[0].jobs[txn], Outcome{Kind: NeverRan})
 		}
 		s.pass(300 * ms)
 		s.order(2 * time.Second)
--- a/lab/credit.go
+++ b/lab/credit.go
@@ -268,16 +268,7 @@
 			}
 			return nil
 		}},
-		{"rolling restart (SIGTERM)", everybody, func() error {
-			for _, r := range p.Routers {
-				r.Signal(syscall.SIGTERM)
-				_ = r.cmd.Wait() // it ends by itself
-				if err := r.Start(); err != nil {
-					return err
-				}
-			}
-			return nil
-		}},
+		{"rolling restart (SIGTERM)", everybody, p.roll},
 	} {
 		if only != nil && !slices.Contains(only, f.name) {
 			continue
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -251,6 +251,20 @@
 	_ = r.cmd.Wait() // it was killed, and says so
 }
 
+// roll restarts one router after the other on SIGTERM.
+func (f *Fleet) roll() error {
+	for _, r := range f.Routers {
+		r.Signal(syscall.SIGTERM)
+		if err := r.cmd.Wait(); err != nil { // anything but exit 0
+			return fmt.Errorf("%s: %w", r.Addr, err)
+		}
+		if err := r.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends all and leaves nothing.
 func (f *Fleet) Close() {
 	for _, r := range f.Routers {
--- a/lab/outlive.go
+++ b/lab/outlive.go
@@ -327,16 +327,7 @@
 			return wait(each)
 		}},
 		{"keys rotated", func(func(...int)) error { o.Net.Heal(); return o.rotate() }},
-		{"rolling restart (SIGTERM)", func(func(...int)) error {
-			for _, r := range o.Routers {
-				r.Signal(syscall.SIGTERM)
-				_ = r.cmd.Wait() // it ends by itself
-				if err := r.Start(); err != nil {
-					return err
-				}
-			}
-			return nil
-		}},
+		{"rolling restart (SIGTERM)", func(func(...int)) error { return o.roll() }},
 		{"drawn from the seed", func(func(...int)) error { return o.follow(faultnet.Schedule(o.seed, len(o.Routers), 2*each, each/8)) }},
 	} {
 		if only != nil && !slices.Contains(only, f.name) {
@@ -485,18 +476,7 @@
 	if alone {
 		o.journal.Close()
 	}
-	row, err := o.Under("rolling restart", 16, func(func(...int)) error {
-		for _, r := range o.Routers {
-			r.Signal(syscall.SIGTERM)
-			if err := r.cmd.Wait(); err != nil { // anything but exit 0
-				return fmt.Errorf("%s: %w", r.Addr, err)
-			}
-			if err := r.Start(); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+	row, err := o.Under("rolling restart", 16, func(func(...int)) error { return o.roll() })
 	for _, l := range o.loads {
 		l.End()
 		p.Sent, p.Answered, p.Cut = p.Sent+l.Sent, p.Answered+l.Served+l.Refused+l.Failed, p.Cut+l.Cut
