Pass on the key of requests whose repeats are dropped, and send no repeat past its time

At fault: rpcwire.Fields.slot, which knew no 'unique', and cachewire.appendAsk, which had no 'token' to write.

The platform has no such class today.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -222,17 +222,17 @@
 	home, second := b.homes(r)
 	if b.s.Direct && b.origin != nil && b.ready(b.origin) {
 		way := attempt{node: b.origin, source: b.origin}
-		if home != nil && !b.allowed(r, way) || len(r.attempts)%2 == 1 && home != nil && b.usable(home) {
+		if home != nil && !b.allowed(r, way.node) || len(r.attempts)%2 == 1 && home != nil && b.usable(home) {
 			way = attempt{node: home, source: home}
 		}
-		if b.allowed(r, way) {
+		if b.allowed(r, way.node) {
 			return way
 		}
 		return attempt{}
 	}
 	for _, p := range []*member{home, second, b.origin} {
 		if p != nil && b.ready(p) && !b.failed(r, p) {
-			if c := b.edge(r); c != nil && b.allowed(r, attempt{node: c}) {
+			if c := b.edge(r); c != nil {
 				return attempt{node: c, source: p}
 			}
 		}
@@ -369,8 +369,8 @@
 	crowd := b.crowd(from)
 	for _, m := range from {
 		dead = dead && (m == not || !b.usable(m))
-		full := m.role == cache && float64(m.out) >= m.limit*b.favour(r)
-		if m == not || full || !b.ready(m) || !b.withinBudget(m, r) {
+		barred := m.role == cache && (float64(m.out) >= m.limit*b.favour(r) || !b.allowed(r, m))
+		if m == not || barred || !b.ready(m) || !b.withinBudget(m, r) {
 			continue
 		}
 		score := b.score(key, m, salt)
@@ -477,14 +477,14 @@
 	return !r.ran() || b.s.Together.Repeat(b.now)
 }
 
-// allowed tells whether the group of the class lets an attempt follow the earlier ones.
-func (b *Brain) allowed(r *request, a attempt) bool {
+// allowed tells whether the group of the class lets an attempt at a member follow the earlier ones.
+func (b *Brain) allowed(r *request, m *member) bool {
 	for i := range r.attempts {
 		e := &r.attempts[i]
 		if r.class.Effect != Keyed || e.neverRan || r.class.Group == GroupAll {
 			continue
 		}
-		if e.node.zone != a.node.zone || r.class.Group == GroupCell && e.node.cell != a.node.cell {
+		if e.node.zone != m.zone || r.class.Group == GroupCell && e.node.cell != m.cell {
 			return false
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -346,6 +346,24 @@
 	}
 }
 
+// A repeat goes only to a cache of the group that drops it, also of a class that is read: another group would run it again.
+func TestRepeatWithinItsGroup(t *testing.T) {
+	set, list := site(), fleet()
+	set.Classes = append(set.Classes, Class{Name: "read", Aim: 600 * ms, Deadline: 3 * sec, Effect: Keyed, Window: 2 * sec})
+	for i := range list {
+		list[i].Cell = i % 2 // the caches of the location are in cells 0, 1 and 0
+	}
+	for object := range uint64(40) {
+		r := newRig(t, set, list)
+		g := r.ask("read", object)
+		for _, again := range gets(r.end(g, 0, Reset, NoNote)) {
+			if r.b.members[again.Node].cell != r.b.members[g.Node].cell {
+				t.Errorf("object %d: first at cell %d, then at another", object, r.b.members[g.Node].cell)
+			}
+		}
+	}
+}
+
 // A cache that hangs is left long before any time-out, and what waited there moves.
 func TestSilentCache(t *testing.T) {
 	r := newRig(t, site(), fleet())
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -351,7 +351,7 @@
 		return
 	}
 	c.done(a)
-	if e.Unchanged && a.Request.Holds == "" { // a copy that the client does not have: spoilt
+	if e.Unchanged && (a.Request.Holds == "" || e.Tag != a.Request.Holds) { // of a copy that this client does not have: spoilt
 		c.cl.core.End(a, core.End{Status: brain.Reset})
 		c.lost()
 		return
--- a/internal/cachewire/codec.go
+++ b/internal/cachewire/codec.go
@@ -90,7 +90,10 @@
 	if ms, err := strconv.ParseFloat(string(a.field("took")), 64); err == nil && ms > 0 && ms < 1e9 {
 		e.Waited = time.Duration(ms * float64(time.Millisecond))
 	}
-	if status == brain.OK && !e.Unchanged {
+	switch {
+	case e.Unchanged:
+		e.Tag = string(a.field("version"))
+	case status == brain.OK:
 		e.Body = bytes.Clone(a.body)
 	}
 	return e, nil
@@ -126,6 +129,9 @@
 	if q.Holds != "" {
 		b = append(append(b, ",holds="...), q.Holds...)
 	}
+	if q.Key != "" {
+		b = append(append(b, ",token="...), q.Key...)
+	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(q.Body)), 10)
 	b = append(append(b, "\r\n"...), q.Body...)
 	return append(b, "\r\n"...)
--- a/internal/cachewire/codec_test.go
+++ b/internal/cachewire/codec_test.go
@@ -35,11 +35,11 @@
 	for text, want := range map[string]core.End{
 		"a DONE res=past_fresh,took=1.5,version=x 2\r\nhi\r\n": {Status: brain.OK, Note: brain.Stale,
 			Waited: 1500 * time.Microsecond, Body: []byte("hi")},
-		"a KEEP res=cached 0\r\n\r\n":       {Status: brain.OK, Note: brain.Hit, Unchanged: true},
-		"a LACK res=up_empty 0\r\n\r\n":     {Status: brain.Miss, Note: brain.SourceLacks},
-		"a WAIT - 0\r\n\r\n":                {Status: brain.Full},
-		"a BROKE res=up_lost 0\r\n\r\n":     {Status: brain.Error, Note: brain.SourceLost},
-		"a PAST took=-3,res=what 0\r\n\r\n": {Status: brain.Moot},
+		"a KEEP version=x,res=cached 0\r\n\r\n": {Status: brain.OK, Note: brain.Hit, Unchanged: true, Tag: "x"},
+		"a LACK res=up_empty 0\r\n\r\n":         {Status: brain.Miss, Note: brain.SourceLacks},
+		"a WAIT - 0\r\n\r\n":                    {Status: brain.Full},
+		"a BROKE res=up_lost 0\r\n\r\n":         {Status: brain.Error, Note: brain.SourceLost},
+		"a PAST took=-3,res=what 0\r\n\r\n":     {Status: brain.Moot},
 	} {
 		a, _, _, err := parse([]byte(text), 100, 100)
 		if err != nil {
@@ -56,10 +56,10 @@
 
 // The age of 0 ms would ask for the fresh time of the class, and so let a purged copy through.
 func TestAppendAsk(t *testing.T) {
-	a := &core.Attempt{Request: &core.Request{Txn: "t", Class: "c", Item: "0a", Nth: "3", Holds: "h", Body: []byte("xy")},
+	a := &core.Attempt{Request: &core.Request{Txn: "t", Class: "c", Item: "0a", Nth: "3", Holds: "h", Key: "k", Body: []byte("xy")},
 		Left: 900 * time.Millisecond, Source: &core.Member{ID: "s-1"},
 		Get: brain.Get{Keep: 2, MaxAge: time.Microsecond, Join: true, Renew: true}}
-	want := "ASK t kind=c,obj=0a,seg=3,ms=900,fetch=s-1,retain=2,newer=1,handle=j+r,holds=h 2\r\nxy\r\n"
+	want := "ASK t kind=c,obj=0a,seg=3,ms=900,fetch=s-1,retain=2,newer=1,handle=j+r,holds=h,token=k 2\r\nxy\r\n"
 	if got := string(appendAsk(nil, a)); got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	Part, Group    uint64
 	Limit          time.Duration // how long the client waits
 	Holds          string        // tag of the copy that the client has
+	Key            string        // under which page caches drop repeats of it; empty: none
 	Body           []byte
 	Write          bool
 	Again          bool   // the client has asked before
@@ -77,6 +78,7 @@
 	Waited    time.Duration // for the source's first byte
 	Body      []byte        // belongs to the receiver
 	Unchanged bool          // the client's own copy is the one
+	Tag       string        // of the copy that is unchanged, as the cache names it
 }
 
 // Upstream carries attempts. It is called on the core's goroutine and reports there. Send must ask
@@ -103,7 +105,8 @@
 	since   time.Duration
 	end     time.Duration
 	attempt *Attempt
-	ran     bool // an attempt may have run
+	ran     bool          // an attempt may have run
+	ranAt   time.Duration // and the first of these was sent then
 
 	paid Payment // set aside for it
 
@@ -122,6 +125,7 @@
 	lim    config.Limits
 	fresh  map[string]time.Duration // of the classes whose copies age by themselves
 	unsafe map[string]bool          // classes that may not be told that trying again is harmless once they may have run
+	repeat map[string]time.Duration // of these: how long after an attempt that may have run another does no harm; 0: never
 
 	mu    sync.Mutex
 	news  []func() // of the journal
@@ -164,11 +168,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{}, fresh: map[string]time.Duration{},
+	c := &Core{brain: b, clock: clock, lim: lim, wake: make(chan struct{}, 1), unsafe: map[string]bool{}, repeat: map[string]time.Duration{}, fresh: map[string]time.Duration{},
 		open: map[brain.RequestID]*request{}, txns: map[string]*request{}, members: map[brain.NodeID]*Member{},
 		queries: map[brain.RequestID]*query{}, classes: map[string]int{}, maxWait: s.MaxWait}
 	for i, k := range s.Classes {
 		c.unsafe[k.Name] = k.Effect != brain.Safe
+		if k.Effect == brain.Keyed {
+			c.repeat[k.Name] = k.Window
+		}
 		c.fresh[k.Name] = k.Fresh
 		c.classes[k.Name] = i
 		c.tallies = append(c.tallies, Tally{Class: k.Name})
@@ -445,12 +452,14 @@
 
 // Permit tells whether an attempt may be written now: brain.OK, or how it ends instead. What was decided
 // before a connection came up may no longer hold: it guards the rule on drains, for the cache and for the
-// source of a fill, and the client's time.
+// source of a fill, the client's time, and the time in which a repeat is dropped.
 func (c *Core) Permit(a *Attempt) (brain.Status, brain.Note) {
 	now := c.clock()
 	switch {
 	case a.over || now >= a.until:
 		return brain.Moot, brain.NoNote
+	case a.owner.ran && c.unsafe[a.owner.Class] && now-a.owner.ranAt >= c.repeat[a.owner.Class]:
+		return brain.Moot, brain.NoNote
 	case a.Node.State != brain.InService:
 		return brain.ConnectFailed, brain.NoNote
 	case a.Get.Source != a.Get.Node && (a.Source == nil || a.Source.State != brain.InService):
@@ -468,7 +477,9 @@
 	a.over = true
 	r := a.owner
 	r.attempt, r.asking = nil, nil
-	r.ran = r.ran || !e.Status.NeverRan()
+	if !r.ran && !e.Status.NeverRan() {
+		r.ran, r.ranAt = true, a.sent
+	}
 	c.traceEnd(a, e)
 	if c.shared != nil {
 		c.shared.count(a, e)
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -137,7 +137,7 @@
 		_, lostOK := hexID(f.Resumes)
 		txnOK = txnOK && lostOK
 	}
-	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) || len(f.Account) > accountMost {
+	if !limitOK || !objectOK || !partOK || !groupOK || !txnOK || len(f.Limit) == 0 || !tag(f.Got) || !tag(f.Unique) || len(f.Account) > accountMost {
 		return q, rpcwire.BadRequest
 	}
 	wait := time.Duration(limit) * time.Millisecond
@@ -149,7 +149,7 @@
 		nth = "0"
 	}
 	return core.Request{Txn: string(f.Txn), Item: string(f.Item), Nth: nth, Class: string(m.Method), Object: object,
-		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Body: bytes.Clone(m.Body), Write: class.Write,
+		Part: part, Group: group, Limit: wait, Holds: string(f.Got), Key: string(f.Unique), Body: bytes.Clone(m.Body), Write: class.Write,
 		Again: string(f.Second) == "1", Resumes: string(f.Resumes), Account: string(f.Account)}, ""
 }
 
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -84,7 +84,7 @@
 
 func (c *client) call(id int, method string) {
 	c.send(0, id, method, []any{map[string]string{"txn": "9b1f03aa5c7e2d41", "limit": "1500", "item": "7f3a9c21e0b4d655",
-		"nth": "3", "batch": "17", "got": "4be0", "second": "1"}, []byte("body")})
+		"nth": "3", "batch": "17", "got": "4be0", "second": "1", "unique": "0de5"}, []byte("body")})
 }
 
 // answer reads the next answer, which is to [1, id, error, result].
@@ -109,7 +109,7 @@
 	c.call(1, "page")
 	q := <-d.got
 	if !q.Again || q.Object != 0x7f3a9c21e0b4d655 || q.Part != 3 || q.Group != 17 || q.Limit != 1500*time.Millisecond ||
-		q.Holds != "4be0" || string(q.Body) != "body" {
+		q.Holds != "4be0" || q.Key != "0de5" || string(q.Body) != "body" {
 		t.Errorf("request %+v", q)
 	}
 	d.Post(func() { q.Reply(core.Answer{Verdict: core.Served, Body: make([]byte, 70000)}) })
@@ -179,7 +179,8 @@
 	d, dial := open(t)
 	good := map[string]string{"txn": "9b1f03aa5c7e2d41", "limit": "3000", "item": "7f3a9c21e0b4d655", "nth": "3", "batch": "17"}
 	for name, bad := range map[string][]string{"limit": {"3001", "NaN", "-1", "0x10", "1e3", "", "99999999999999999999"},
-		"item": {"7f3a", "what", "-f3a9c21e0b4d655"}, "nth": {"-1", "99999999999999999999"}, "batch": {"256", "-1"}, "txn": {"", "9b1f03aa5c7e2d4 "}} {
+		"item": {"7f3a", "what", "-f3a9c21e0b4d655"}, "nth": {"-1", "99999999999999999999"}, "batch": {"256", "-1"}, "txn": {"", "9b1f03aa5c7e2d4 "},
+		"unique": {"a,b=c", "a b", "a\r\nQUIT 1"}} {
 		for _, v := range bad {
 			fields := maps.Clone(good)
 			fields[name] = v
--- a/internal/rpcwire/codec.go
+++ b/internal/rpcwire/codec.go
@@ -37,7 +37,9 @@
 }
 
 // Fields are the known fields of a call and, the last two, of an answer.
-type Fields struct{ Txn, Limit, Item, Nth, Batch, Got, Second, Resumes, Account, OK304, Later, Reason []byte }
+type Fields struct {
+	Txn, Limit, Item, Nth, Batch, Got, Second, Unique, Resumes, Account, OK304, Later, Reason []byte
+}
 
 func (f *Fields) slot(name []byte) *[]byte {
 	switch string(name) {
@@ -55,6 +57,8 @@
 		return &f.Got
 	case "second":
 		return &f.Second
+	case "unique":
+		return &f.Unique
 	case "resumes":
 		return &f.Resumes
 	case "account":
