Hold what six kills strand of a balance to a bound that follows from the design

Cause: a kill loses what a router spends in a chunk's time and its open requests, some 12 to 19 credits here, whatever the balance; with 950 credits funded six kills come to the limit by design. The test had passed by timing. Now 3,650 are funded and 0.06 may be stranded by kills, 219 credits or 36 a kill (29 were measured at five routers, docs/credit.md); without kills 0.02 in place of 0.1.

--- a/cmd/hillknot/outlive_test.go
+++ b/cmd/hillknot/outlive_test.go
@@ -116,13 +116,20 @@
 		t.Fatal(err)
 	}
 	defer p.Close()
-	rows, err := p.PayFaults(1500*time.Millisecond, 8, 300, []string{"two cut off from the rest", "killed again and again", "top-up read by half of the fleet"})
+	rows, err := p.PayFaults(1500*time.Millisecond, 8, 1200, []string{"two cut off from the rest", "killed again and again", "top-up read by half of the fleet"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range rows {
-		unread := strings.HasPrefix(r.Fault, "top-up") // the others' part of it
-		if r.Broken() || r.Served < 50 || r.Refused == 0 || r.Beside < 0.5 || r.Stranded > 0.1 && !unread {
+		t.Logf("%+v", r)
+		most := 0.02
+		switch {
+		case strings.HasPrefix(r.Fault, "top-up"): // the others' part of it
+			most = 1
+		case strings.HasPrefix(r.Fault, "killed"): // each loses what a router spends in a chunk's time, and its open requests
+			most = 0.06
+		}
+		if r.Broken() || r.Served < 50 || r.Refused == 0 || r.Beside < 0.5 || r.Stranded > most {
 			t.Errorf("%+v", r)
 		}
 	}
