End connections by a lingering close, and hand on nothing that is read after one

Found by reading, each case forced by a test on real connections that is red without its mend: - netio.Conn.read handed on what netpoll had in its buffer when another goroutine closed the connection: a request read after the close was sent on, and its answer lost (TestNothingIsHandedOnAfterAClose). Conn.rest decides and shuts in one step, and not over bytes that have come. - a close over unread bytes resets the connection, and the peer can lose the answer before it (TestLingeringClose: 'connection reset by peer' before). Our side ends first; what comes is thrown away, up to 250 ms or 256 KB (TestLingeringEnds). - at exit the router slept 50 ms and closed: answers in the write buffer of a slow reader were cut (TestFinish). netio.Server.Finish writes what was sent, ends all, and returns as soon as the peers have ended too, 0.1 s behind the bound of Finish at most. - msgrpc submitted a request whose connection's end had overtaken it in the core's inbox (TestRequestBehindTheEnd). Limits.Linger, which was no lingering close, is Grace now; config.Conn.Linger is one.

--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -182,7 +182,7 @@
 	Close()
 }
 
-// finish goes on serving for the linger time, in which requests still arrive, and then until all that was
+// finish goes on serving for the grace time, in which requests still arrive, and then until all that was
 // taken is answered. Where a successor has taken over, new connections are left to that at once, and the open ones
 // close as on standby.
 func finish(c *core.Core, front *msgrpc.Front, lim config.Limits) {
@@ -193,7 +193,7 @@
 		if followed {
 			front.StopAccepting()
 		}
-		if followed && front.Conns() > 0 || !followed && time.Since(start) <= lim.Linger {
+		if followed && front.Conns() > 0 || !followed && time.Since(start) <= lim.Grace {
 			continue
 		}
 		if c.Post(func() { empty <- c.Empty() }); <-empty {
@@ -204,7 +204,7 @@
 	c.Post(func() { c.CloseFunds(); close(closed) })
 	<-closed
 	slog.Info("ended", "after", time.Since(start), "followed", c.Snapshot().Followed)
-	time.Sleep(50 * time.Millisecond) // the last answers are on their way out
+	front.Finish(start.Add(lim.Finish + lim.Exit))
 }
 
 // unixClock counts from the Unix epoch and never steps back.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -302,23 +302,24 @@
 		// A purge binds half a second after it was told, at the earliest.
 		Quiet: 300 * ms, Gather: ms, GatherMost: 100 * ms,
 
-		LetGo:  250 * ms,
-		Linger: 700 * ms,
+		LetGo: 250 * ms,
+		Grace: 700 * ms,
+		Exit:  100 * ms,
 
 		LeaveBehind: 400 * ms, LeaveIdle: 600 * ms, LeavePause: 100 * ms, LeaveRefuse: 2 * time.Second, LeaveCut: 3300 * ms,
 
 		// A request may take 2 s to be written; who sends none is owed an end within 3 s.
 		// Clients close a connection that was idle for 4 s. Ours come later, so that a request seldom crosses them.
 		Client: Conn{Pending: 8 << 20, Read: 2500 * ms, Whole: 2500 * ms, Write: 5 * time.Second, Idle: 5 * time.Second,
-			Silent: 1500 * ms},
+			Silent: 1500 * ms, Linger: 250 * ms},
 		// Answers come whole, or nearly: a pause of a second inside one says that it has stopped short.
 		Upstream: Conn{Pending: 1 << 20, Read: time.Second, Write: 50 * ms},
 		DNS: Conn{Pending: 1 << 18, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 10 * time.Second,
-			Silent: 2 * time.Second},
+			Silent: 2 * time.Second, Linger: 250 * ms},
 		Check: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 5 * time.Second,
-			Silent: 2 * time.Second},
+			Silent: 2 * time.Second, Linger: 250 * ms},
 		Ops: Conn{Pending: 1 << 16, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: time.Second,
-			Silent: time.Second},
+			Silent: time.Second, Linger: 250 * ms},
 		HandoverConns: 4, HandoverState: 1 << 20, HandoverWait: 500 * ms, HandoverReach: 1500 * ms,
 		// The connection stays, silent, for as long as both processes live.
 		Handover: Conn{Pending: 2 << 20, Read: time.Second, Whole: time.Second, Write: time.Second, Idle: 1000 * time.Hour,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -38,8 +38,9 @@
 	Gather           time.Duration // it then looks this often whether the journal is read
 	GatherMost       time.Duration // and waits no longer than this
 	LetGo            time.Duration // how long a refused order waits until no other router can run it
-	Linger           time.Duration // how long a router that is to end still takes requests
+	Grace            time.Duration // how long a router that is to end still takes requests
 	Finish           time.Duration // and how long it has in all to answer what is open
+	Exit             time.Duration // after that, to write the last answers and end its connections
 
 	// A router that leaves its clients does so in stages, each so long after the start.
 	LeaveBehind time.Duration // connections close behind an answer; the front has stopped sending by then
@@ -64,6 +65,7 @@
 	Write   time.Duration // how long a write may block
 	Idle    time.Duration // of one that was accepted: closed when nothing has moved for so long
 	Silent  time.Duration // and when nothing whole has come at all
+	Linger  time.Duration // how long what comes is still read, and thrown away, once our side has ended; 0: not at all
 }
 
 // Shared returns the limits while two processes are one router: together they may hold what one may. Most of the
--- a/internal/msgrpc/front.go
+++ b/internal/msgrpc/front.go
@@ -71,12 +71,13 @@
 	return f.lim.Client.Idle, f.lim.Client.Whole
 }
 
-// conn is a client's connection. Its open requests belong to the core's goroutine.
+// conn is a client's connection. Its open requests, and all below them, belong to the core's goroutine.
 type conn struct {
 	f      *Front
 	nc     *netio.Conn
 	open   map[uint64]brain.RequestID // by the client's message id
 	faults int                        // calls that could not be used
+	gone   bool                       // nothing is owed any more
 }
 
 // Take implements netio.Handler.
@@ -97,6 +98,7 @@
 // Closed implements netio.Handler: nothing is owed any more.
 func (c *conn) Closed() {
 	c.f.core.Post(func() {
+		c.gone = true
 		for _, id := range c.open {
 			c.f.core.Withdraw(id)
 		}
@@ -184,6 +186,7 @@
 func (c *conn) submit(msg uint64, q core.Request, word string) {
 	_, twice := c.open[msg]
 	switch {
+	case c.gone: // it was read as the connection ended, and nobody could be told what came of it
 	case twice: // two answers under one id could not be told apart
 		c.nc.Close()
 	case word != "":
--- a/internal/msgrpc/front_test.go
+++ b/internal/msgrpc/front_test.go
@@ -277,3 +277,16 @@
 		t.Errorf("after it: error %q", w)
 	}
 }
+
+// A request that was read as its connection ended, and comes to the core behind the news of the end, is not submitted: nobody
+// could withdraw it, and it would be sent on for a client that has gone.
+func TestRequestBehindTheEnd(t *testing.T) {
+	d := &desk{posts: make(chan func(), 10), got: make(chan core.Request, 10)}
+	c := &conn{f: &Front{core: d, lim: config.Limits{OpenPerConn: 2}, budget: netio.NewBudget(1 << 20)}, open: map[uint64]brain.RequestID{}}
+	c.Closed()
+	(<-d.posts)()
+	c.submit(1, core.Request{}, "")
+	if len(d.got) != 0 {
+		t.Error("submitted")
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -61,7 +61,7 @@
 	// bytes it wants to see before it is called again (0: any more). The slice is valid for the call only.
 	// An error closes the connection.
 	Take(buf []byte) (used, want int, err error)
-	// Closed is called once, after the connection has closed for whatever reason.
+	// Closed is called once, after the connection has closed for whatever reason, or as soon as nothing more is handed on.
 	Closed()
 }
 
@@ -78,9 +78,15 @@
 	queue   [][]byte
 	pending int
 	writing bool
-	last    bool // closes once all is written
+	shut    bool // nothing that comes in is handed on any more
+	taking  bool // the handler has what came in
+	leave   bool // it is retired once all is written, if it rests by then
+	last    bool // it ends once all is written
 	closed  bool
 	close   sync.Once
+	told    sync.Once // the handler that it has closed
+	linger  sync.Once
+	thrown  int          // bytes that came in once it was shut
 	active  atomic.Int64 // Unix time in nanoseconds when bytes last came or went
 	spoke   atomic.Bool  // a whole message has come
 	half    atomic.Int64 // Unix time in nanoseconds when a message began that is not whole yet; 0: there is none
@@ -110,13 +116,80 @@
 	return time.Duration(now.UnixNano() - c.active.Load()), c.pending == 0 && c.owed.Load() == 0
 }
 
-// Leave closes the connection behind what was sent, unless more is owed on it or something is coming in.
+// Leave retires the connection behind what was sent, unless by then more is owed on it or something is coming in.
 func (c *Conn) Leave() {
-	if c.owed.Load() == 0 && c.half.Load() == 0 {
-		c.CloseBehind()
+	c.mu.Lock()
+	c.leave = true
+	c.mu.Unlock()
+	c.left()
+}
+
+// left does what Leave asked for, once nothing is being written or handed on.
+func (c *Conn) left() {
+	c.mu.Lock()
+	now := c.leave && !c.writing && !c.taking
+	c.leave = c.leave && !now
+	c.mu.Unlock()
+	if now {
+		c.retire(false)
+	}
+}
+
+// ending tells whether the connection is shut.
+func (c *Conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
+}
+
+// rest shuts a connection on which nothing is owed, waits or comes in, and tells whether it did. All in one step: a request
+// that was handed on is answered, and one that comes after it crosses the close and is handed to nobody. With half, one
+// that is in the middle of a message rests too.
+func (c *Conn) rest(half bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || c.taking || c.pending > 0 || c.owed.Load() > 0 || !half && (c.half.Load() > 0 || c.Unread()) {
+		return false
+	}
+	c.shut = true
+	return true
+}
+
+// retire ends a connection that rests.
+func (c *Conn) retire(half bool) {
+	if c.rest(half) {
+		c.lingerClose()
 	}
 }
 
+// lingerClose ends our side of a connection that is shut, and throws away what still comes until the peer has ended its
+// own, or the time is up. A close over bytes that nobody has read would reset the connection, and the peer could lose
+// what was written last.
+func (c *Conn) lingerClose() {
+	c.tell()
+	c.linger.Do(func() {
+		if c.lim.Linger <= 0 || !c.endWrites() {
+			c.Close()
+			return
+		}
+		time.AfterFunc(c.lim.Linger, c.Close)
+	})
+}
+
+// endWrites tells the peer that nothing more comes.
+func (c *Conn) endWrites() bool {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	fd, ok := c.nc.(interface{ Fd() int })
+	return ok && !c.down && c.nc.IsActive() && unix.Shutdown(fd.Fd(), unix.SHUT_WR) == nil
+}
+
+// lingerMost is how many bytes are thrown away: a peer that sends on at full speed is cut off.
+const lingerMost = 256 << 10
+
+// tell tells the handler that nothing more is handed on.
+func (c *Conn) tell() { c.told.Do(c.h.Closed) }
+
 // Unread tells whether bytes have come that the handler has not taken yet, in the socket or behind it. Where the system
 // does not say, there are none. A close in this moment may make it wrong, once.
 func (c *Conn) Unread() bool {
@@ -131,8 +204,11 @@
 // Remote is the peer's address.
 func (c *Conn) Remote() net.Addr { return c.nc.RemoteAddr() }
 
-// Close closes the connection.
+// Close closes the connection at once. What has not been read resets it.
 func (c *Conn) Close() {
+	c.mu.Lock()
+	c.shut = true
+	c.mu.Unlock()
 	_ = c.nc.Close() // what can fail here is a connection that is closed already
 }
 
@@ -149,7 +225,7 @@
 			c.drop()
 		}
 		c.mu.Unlock()
-		c.h.Closed()
+		c.tell()
 	})
 	return nil
 }
@@ -164,11 +240,16 @@
 // them all, and waits, for a bounded time, for the rest of a message that is cut.
 func (c *Conn) read(_ context.Context, nc netpoll.Connection) error {
 	r, want := nc.Reader(), 1
-	var due time.Time // of the rest of a message
 	for {
 		buf, err := c.peek(r, max(want, r.Len()))
 		if err != nil { // closed, too much, or the rest did not come in time
-			c.Close()
+			c.CloseBehind()
+			return nil
+		}
+		if !c.begin() { // it crossed our close
+			if c.thrown += len(buf); r.Skip(len(buf)) != nil || r.Release() != nil || c.thrown > lingerMost {
+				c.Close()
+			}
 			return nil
 		}
 		c.active.Store(time.Now().UnixNano())
@@ -176,31 +257,50 @@
 		if err == nil {
 			err = r.Skip(used)
 		}
+		rest := len(buf) - used
+		began := c.finish(used > 0, rest > 0 || more > 1)
 		if err != nil {
-			c.Close()
+			c.CloseBehind()
 			return nil
 		}
-		rest := len(buf) - used
 		if used > 0 {
 			c.spoke.Store(true)
 			_ = r.Release() // fails only after a close, which the next Peek tells
 		}
+		c.left()
 		if rest == 0 && more <= 1 && r.Len() == 0 {
-			c.half.Store(0)
 			_ = nc.SetReadTimeout(c.lim.Read)
 			return nil
 		}
 		want = max(more, rest+1)
-		if now := time.Now(); used > 0 || due.IsZero() {
-			due = now.Add(c.lim.Whole)
-			c.half.Store(now.UnixNano())
-		}
 		if c.lim.Whole > 0 { // a peer that sends byte by byte must not hold a message open for good
-			_ = nc.SetReadTimeout(max(min(c.lim.Read, time.Until(due)), time.Millisecond))
+			_ = nc.SetReadTimeout(max(min(c.lim.Read, time.Until(time.Unix(0, began).Add(c.lim.Whole))), time.Millisecond))
 		}
 	}
 }
 
+// begin tells whether what has come in may be handed on, and has the connection not rest until finish.
+func (c *Conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taking = !c.shut
+	return c.taking
+}
+
+// finish notes what the handler made of it, and returns when the message began that is not whole yet, if there is one.
+func (c *Conn) finish(used, half bool) (began int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taking = false
+	switch {
+	case !half:
+		c.half.Store(0)
+	case used || c.half.Load() == 0:
+		c.half.Store(time.Now().UnixNano())
+	}
+	return c.half.Load()
+}
+
 // peek waits for n bytes, which count as held meanwhile. The read time-out runs from the latest that came, so
 // that a long message may take its time, but not one that has stopped short.
 func (c *Conn) peek(r netpoll.Reader, n int) ([]byte, error) {
@@ -224,7 +324,7 @@
 func (c *Conn) Send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.last {
+	if c.closed || c.shut {
 		return ErrClosed
 	}
 	if c.pending > 0 && c.pending+len(b) > c.lim.Pending {
@@ -251,7 +351,7 @@
 // writePiece is how many bytes are written under one time-out, or a single message.
 const writePiece = 256 << 10
 
-// Finish sends bytes and closes the connection once all is written.
+// Finish sends bytes and ends the connection once all is written.
 func (c *Conn) Finish(b []byte) {
 	if err := c.Send(b); err != nil {
 		return // closed, or about to be
@@ -259,14 +359,15 @@
 	c.CloseBehind()
 }
 
-// CloseBehind closes the connection once all is written that was sent.
+// CloseBehind ends the connection once all is written that was sent. Nothing more is handed on or sent from now on.
 func (c *Conn) CloseBehind() {
 	c.mu.Lock()
-	c.last = true
+	c.shut, c.last = true, true
 	done := !c.writing
 	c.mu.Unlock()
+	c.tell()
 	if done {
-		c.Close()
+		c.lingerClose()
 	}
 }
 
@@ -289,8 +390,9 @@
 			last := c.last
 			c.mu.Unlock()
 			if last {
-				c.Close()
+				c.lingerClose()
 			}
+			c.left()
 			return
 		}
 		c.mu.Unlock()
@@ -465,10 +567,10 @@
 				idle, ok := c.spare(now)
 				if began := c.half.Load(); began > 0 {
 					if ok && now.UnixNano()-began > int64(half) {
-						c.Close()
+						c.retire(true)
 					}
 				} else if ok && (idle > most || idle > s.lim.Silent && !c.spoke.Load()) {
-					c.Close()
+					c.retire(false)
 				}
 				return true
 			})
@@ -476,6 +578,19 @@
 	}
 }
 
+// Finish stops accepting and ends what is open: what was sent is written, and what comes is thrown away. It returns once the
+// peers have ended their side too, or at a time. Close is to follow.
+func (s *Server) Finish(until time.Time) {
+	s.ln.shut.Store(true)
+	for s.open.Load() > 0 && time.Now().Before(until) {
+		s.conns.Range(func(c, _ any) bool { c.(*Conn).CloseBehind(); return true })
+		time.Sleep(finishLook)
+	}
+}
+
+// finishLook is how often Finish looks whether all have ended.
+const finishLook = 2 * time.Millisecond
+
 // Close stops accepting and closes what is open. It is called once.
 func (s *Server) Close() {
 	s.ln.shut.Store(true) // also where Serve begins in this moment
@@ -521,20 +636,41 @@
 
 // How a connection that owes nothing rests, in the order in which they give way.
 const (
-	restSilent = iota
+	restShut = iota // it has ended, and waits for its peer to end too
+	restSilent
 	restIdle
 	restStopped
 	restMoving // in the middle of a message, and still sending
 )
 
 // evict closes a connection that owes nothing to make room for a new one. It guards against peers that connect by
-// thousands and hold on, which would else keep all others out. Those that never said anything for some time go
-// first, then those that idle, then those that have stopped in the middle of a message, as a slow writer does too, last
+// thousands and hold on, which would else keep all others out. Those that have ended on our side go first, then those
+// that never said anything for some time, then those that idle, then those that have stopped in the middle of a message, as a slow writer does too, last
 // those that are still at it; of each, the one on which nothing has moved for longest. Those that rest less than last stay.
 func (s *Server) evict(last int) bool {
-	var worst *Conn
+	for range evictTries {
+		c, rest := s.resting(last)
+		switch {
+		case c == nil:
+			return false
+		case rest != restShut && !c.rest(rest >= restStopped):
+			continue // something came just then
+		}
+		if !c.evicted.Swap(true) { // else it has closed by itself, or another was quicker
+			s.going.Add(1)
+			c.Close()
+		}
+		return true
+	}
+	return false
+}
+
+const evictTries = 3
+
+// resting returns the connection that is to give way first, of those that rest as much as last or more, and how it rests.
+func (s *Server) resting(last int) (worst *Conn, first int) {
 	var most time.Duration
-	first := last + 1
+	first = last + 1
 	now, pause := time.Now(), s.lim.Silent/8
 	s.conns.Range(func(k, _ any) bool {
 		c := k.(*Conn)
@@ -544,6 +680,8 @@
 		}
 		rest := restIdle
 		switch {
+		case c.ending():
+			rest = restShut
 		case c.half.Load() > 0 && idle <= pause:
 			rest = restMoving
 		case c.half.Load() > 0:
@@ -556,14 +694,7 @@
 		}
 		return true
 	})
-	if worst == nil {
-		return false
-	}
-	if !worst.evicted.Swap(true) { // else it has closed by itself, or another was quicker
-		s.going.Add(1)
-		worst.Close()
-	}
-	return true
+	return worst, first
 }
 
 func (s *Server) opened(ctx context.Context, nc netpoll.Connection) context.Context {
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -1,7 +1,9 @@
 package netio
 
 import (
+	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -359,3 +361,180 @@
 		t.Error("the one that stopped is still open")
 	}
 }
+
+// gated is a handler that takes lines, each when the test lets it, and notes what it was handed.
+type gated struct {
+	c      *Conn
+	came   chan string
+	let    chan bool
+	closed chan bool
+}
+
+func (g *gated) Take(buf []byte) (int, int, error) {
+	if buf[len(buf)-1] != '\n' {
+		return 0, 0, nil
+	}
+	g.came <- string(buf)
+	<-g.let
+	return len(buf), 0, nil
+}
+
+func (g *gated) Closed() { close(g.closed) }
+
+// gatedPair starts a server with one connection of a client, and returns the two ends of it.
+func gatedPair(t *testing.T, lim config.Conn) (*Server, net.Conn, *gated) {
+	t.Helper()
+	made := make(chan *gated, 1)
+	s, err := Listen("127.0.0.1:0", 100, lim, NewBudget(1<<25), func(c *Conn) Handler {
+		g := &gated{c: c, came: make(chan string, 10), let: make(chan bool), closed: make(chan bool)}
+		made <- g
+		return g
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(s.Close)
+	nc, g := dial(t, s.Addr().String()), <-made
+	for ok := false; !ok; _, ok = s.conns.Load(g.c) { // until it is set up
+		time.Sleep(time.Millisecond)
+	}
+	return s, nc, g
+}
+
+func lingering() config.Conn {
+	l := lim
+	l.Linger = 10 * time.Second
+	return l
+}
+
+// expect reads what the peer has sent, up to its end, which must be no reset.
+func expect(t *testing.T, nc net.Conn, want string) {
+	t.Helper()
+	if got, err := io.ReadAll(nc); err != nil || string(got) != want {
+		t.Errorf("read %d bytes, %.40q, %v; want %d, %.40q, and the end", len(got), got, err, len(want), want)
+	}
+}
+
+func write(t *testing.T, nc net.Conn, text string) {
+	t.Helper()
+	if _, err := nc.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What comes once a connection was closed is handed to nobody, also if it waited in the read buffer by then: a request that
+// is read after the close would be sent on, and its answer lost.
+func TestNothingIsHandedOnAfterAClose(t *testing.T) {
+	for name, end := range map[string]func(*Conn){"at once": (*Conn).Close, "behind what was sent": (*Conn).CloseBehind} {
+		s, nc, g := gatedPair(t, lingering())
+		write(t, nc, "one\n")
+		<-g.came
+		write(t, nc, "two\n")
+		for !g.c.Unread() { // until it has come
+			time.Sleep(time.Millisecond)
+		}
+		end(g.c)
+		g.let <- true
+		nc.(*net.TCPConn).CloseWrite()
+		for s.Conns() > 0 && len(g.came) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if len(g.came) > 0 {
+			t.Errorf("%s: handed on %q after the close", name, <-g.came)
+			g.let <- true
+		}
+	}
+}
+
+// A connection on which a message is being handed on does not rest, whatever else is owed on it.
+func TestNoCloseUnderAMessage(t *testing.T) {
+	for name, retire := range map[string]func(*Server, *Conn){
+		"behind an answer": func(_ *Server, c *Conn) { c.Leave() },
+		"idle":             func(_ *Server, c *Conn) { c.retire(false) },
+		"half":             func(_ *Server, c *Conn) { c.retire(true) },
+		"for a new one":    func(s *Server, _ *Conn) { s.SetMax(0) },
+	} {
+		s, nc, g := gatedPair(t, lingering())
+		write(t, nc, "one\n")
+		<-g.came
+		retire(s, g.c)
+		g.c.Owe(1)
+		g.let <- true
+		if err := g.c.Send([]byte("answer\n")); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		g.c.Owe(-1)
+		g.c.Leave()
+		expect(t, nc, "answer\n")
+	}
+}
+
+// An answer that a client has yet to read is not lost as the connection ends while the client sends on.
+func TestLingeringClose(t *testing.T) {
+	s, nc, g := gatedPair(t, lingering())
+	write(t, nc, "one\n")
+	<-g.came
+	g.c.Owe(1)
+	g.let <- true
+	if err := g.c.Send([]byte("answer\n")); err != nil {
+		t.Fatal(err)
+	}
+	g.c.Owe(-1)
+	g.c.CloseBehind()
+	<-g.closed
+	for range 20 {
+		write(t, nc, "more\n") // fails once the connection is reset
+		time.Sleep(time.Millisecond)
+	}
+	expect(t, nc, "answer\n")
+	nc.Close()
+	for end := time.Now().Add(20 * time.Second); s.Conns() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection stays")
+		}
+	}
+}
+
+// A peer that goes on and on after our end is cut off by bytes, and one that does nothing by time.
+func TestLingeringEnds(t *testing.T) {
+	short, long := lingering(), lingering()
+	short.Linger, long.Linger = 50*time.Millisecond, time.Minute
+	for name, l := range map[string]config.Conn{"sends": long, "rests": short} {
+		s, nc, g := gatedPair(t, l)
+		g.c.CloseBehind()
+		for end := time.Now().Add(20 * time.Second); s.Conns() > 0; time.Sleep(time.Millisecond) {
+			if name == "sends" {
+				_, _ = nc.Write(make([]byte, 4096)) // fails in the end
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: still open", name)
+			}
+		}
+	}
+}
+
+// A server that ends writes what was sent, also to one who reads late, and ends the others; it is done as soon as they are.
+func TestFinish(t *testing.T) {
+	s, nc, g := gatedPair(t, lingering())
+	rests := dial(t, s.Addr().String())
+	write(t, nc, "one\n")
+	<-g.came
+	g.c.Owe(1)
+	g.let <- true
+	answer := strings.Repeat("x", 1<<24) // more than the sockets hold
+	if err := g.c.Send([]byte(answer)); err != nil {
+		t.Fatal(err)
+	}
+	g.c.Owe(-1)
+	done := make(chan bool)
+	go func() { s.Finish(time.Now().Add(20 * time.Second)); close(done) }()
+	expect(t, rests, "")
+	rests.Close()
+	expect(t, nc, answer)
+	nc.Close()
+	<-done
+	if n := s.Conns(); n > 0 {
+		t.Errorf("%d connections are left", n)
+	}
+}
