Share connections that are being dialed, take no answer twice, and ask again for lost events

While all connections that a cache may have were being dialed, any further attempt ended as 'connect failed' at once, and three of them made the cache bad: a burst of 30 requests on a new router (TestClientLeaves, debug log: 'attempt id=5 n=0', 'n=1', 'n=2', 'n=3' in one millisecond, s-0 never written to) was refused. With 300 routers there is one connection a cache, and it happens at each reconnect. At fault: cachewire.Send, 'case c == nil && !room'. They wait and share what comes up now (TestMoreThanConnections); a dial that fails ends all who waited and counts once (brain.judge). Out of connections, the one that was idle longest gives way, and a cache is not blamed for what this router lacks, descriptors too (TestNoConnectionsLeft).

A second copy of 'WAIT' or 'LACK' that came late ended the next attempt of the request on that connection, and proved that it never ran while it was running: an order could have run twice. Orders go out again on another connection; what is safe is given up by a QUIT before its end counts (TestAnswerTwice). What is remembered of requests given up is bounded (pastMost).

It is asked for once more; what can't be read then is passed over with an error (TestEventThatCannotBeRead).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -671,10 +671,8 @@
 			}
 			b.usual(src.role, r.work)
 		}
-	case ConnectFailed:
-		b.ill(a.node)
-	case Reset:
-		if a.node.broke != b.now { // one connection that breaks ends all attempts on it, and counts once
+	case ConnectFailed, Reset:
+		if a.node.broke != b.now { // one connection that fails ends all attempts on it, and counts once
 			b.ill(a.node)
 		}
 		a.node.broke = b.now
--- a/cmd/hillknot/races_test.go
+++ b/cmd/hillknot/races_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"io"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -63,3 +66,235 @@
 		}
 	}
 }
+
+// settled tells that the router has taken all events that were told by then, of which the latest brings a new page cache: it
+// is asked for something.
+func (s *stage) settled(u *user, id int, at *prop) {
+	s.t.Helper()
+	for ; ; id++ {
+		u.call(id, "page", nil)
+		a := s.next("ASK")
+		a.done("x")
+		u.told(id, "x")
+		if a.at == at {
+			return
+		}
+	}
+}
+
+// An event that comes cut or garbled, and one that is missing between two others, are asked for again: a drain in it would be
+// passed over for good, as what comes behind it moves the position on.
+func TestSpoiltEventIsAskedForAgain(t *testing.T) {
+	const empty = "id: 3\ndata: {\"pos\":3,\"hosts\":{\"instances\":[]}}\n\n"
+	for name, spoil := range map[string]func(watch){
+		"cut":     func(w watch) { w.raw("id: 2\ndata: {\"pos\":2,\"hosts\":{\"inst\n\n" + empty) },
+		"missing": func(w watch) { w.raw(empty) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, 2).start()
+			spoil(s.watched("1"))
+			w := s.watched("1")
+			w.tell(2, false, s.caches[0].host("draining"))
+			w.tell(3, false)
+			s.watchedBy(w, 1)
+		})
+	}
+}
+
+// watchedBy tells that the router goes by an event that drains the first page cache: of many requests, which would go to both,
+// none goes there. The event before it must have been told.
+func (s *stage) watchedBy(w watch, id int) {
+	s.t.Helper()
+	late := &prop{Listener: feed(s.t), s: s, id: "late"}
+	go late.accept()
+	s.caches = append(s.caches, late)
+	w.tell(4, false, late.host("ready"))
+	u := s.dial()
+	s.settled(u, id, late)
+	for id += 100; id < 120; id++ {
+		u.call(id, "page", nil)
+		a := s.next("ASK")
+		if a.at == s.caches[0] {
+			s.t.Errorf("asked for %s while it drains", a.txn)
+		}
+		a.done("x")
+		u.told(id, "x")
+	}
+}
+
+// An event that can't be read however often it is told is passed over, with an error in the log, and the next one counts.
+func TestEventThatCannotBeRead(t *testing.T) {
+	s := newStage(t, 2).start()
+	const odd = "id: 2\ndata: {\"pos\":2,\"hosts\":{\"instances\":[{\"instanceId\":\"s-9\",\"lifecycle\":\"odd\"}]}}\n\n"
+	s.watched("1").raw(odd)
+	w := s.watched("1")
+	w.raw(odd)
+	w.tell(3, false, s.caches[0].host("draining"))
+	s.watchedBy(w, 1)
+}
+
+// All watches fall silent at once, before they have told anything; what is told then is heard on a new one.
+func TestSilentWatch(t *testing.T) {
+	s := newStage(t, 2).start()
+	s.watched("1") // and nothing more, while the connection stays open
+	w := s.watched("1")
+	w.tell(2, false, s.caches[0].host("draining"))
+	w.tell(3, false)
+	s.watchedBy(w, 1)
+}
+
+// The journal is down at the start, and tells of a drain right after its return.
+func TestDrainRightAfterTheReturn(t *testing.T) {
+	s := newStage(t, 2)
+	addr := s.journal.Addr().String()
+	s.journal.Close()
+	s.start()
+	u := s.dial()
+	u.call(1, "page", nil)
+	a := s.next("ASK") // it serves meanwhile
+	a.done("x")
+	u.told(1, "x")
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go s.listen(ln)
+	w := s.watched("1")
+	w.tell(2, false, s.caches[0].host("draining"))
+	w.tell(3, false)
+	s.watchedBy(w, 2)
+}
+
+// A new configuration moves the journal. The old stream still delivers; what the new one has told stands.
+func TestOldStreamAfterAMove(t *testing.T) {
+	s := newStage(t, 2).start()
+	old := s.watched("1")
+	moved := feed(t)
+	go s.listen(moved)
+	s.set(moved.Addr().String(), "journal")
+	s.write()
+	s.signals <- syscall.SIGHUP
+	w := s.watched("1")
+	w.tell(2, false, s.caches[0].host("draining"))
+	w.tell(3, false)
+	_, _ = io.WriteString(old, "id: 2\ndata: {\"pos\":2,\"hosts\":{\"instances\":[]}}\n\nid: 4\n") // fails if the router has ended it
+	s.watchedBy(w, 1)
+}
+
+// A new list that lacks a member: it has gone, and gets nothing more, also on the connections that are open, and as
+// the source of a fill.
+func TestListThatLacksAMember(t *testing.T) {
+	s := newStage(t, 2).start()
+	w := s.watched("1")
+	w.tell(2, true, s.caches[1].host("ready"))
+	w.tell(3, false)
+	s.watchedBy(w, 1)
+}
+
+// A page cache begins to drain while a request that was decided for it waits for a connection: it is not written.
+func TestDrainBetweenDecisionAndWrite(t *testing.T) {
+	s := newStage(t, 1)
+	release := s.caches[0].hold()
+	defer release()
+	s.start()
+	w := s.watched("1")
+	u := s.dial()
+	u.call(1, "page", nil)
+	next := &prop{Listener: feed(t), s: s, id: "s-next"}
+	go next.accept()
+	s.caches = append(s.caches, next)
+	w.tell(2, false, s.caches[0].host("draining"), next.host("ready"))
+	v := s.dial()
+	v.call(2, "page", nil)
+	s.next("ASK").done("v")
+	v.told(2, "v") // the list is known
+	release()
+	a := s.next("ASK") // on the connection that came up late nothing was written
+	if a.at != next || a.txn != "0000000000000001" {
+		t.Errorf("%s is asked for %s", a.at.id, a.txn)
+	}
+	a.done("u")
+	u.told(1, "u")
+}
+
+// leave has a client go, in each of the ways that there are, and returns once the router knows.
+var leave = map[string]func(*user){
+	"cancels": func(u *user) {
+		u.cancel(1)
+		u.health(2)
+	},
+	"closes its side": func(u *user) {
+		u.nc.(*net.TCPConn).CloseWrite()
+		if _, err := u.nc.Read(make([]byte, 1)); err == nil {
+			u.s.t.Error("still answered")
+		}
+	},
+}
+
+// A client that goes while its request waits for a connection that comes up late, or for room at a page cache, or as an attempt
+// has failed and another is to follow, has gone: nothing is sent for it any more but a QUIT.
+func TestClientLeaves(t *testing.T) {
+	for name, depart := range leave {
+		t.Run(name+" during a connect", func(t *testing.T) {
+			s := newStage(t, 1)
+			release := s.caches[0].hold()
+			defer release()
+			s.start()
+			u := s.dial()
+			u.call(1, "page", nil)
+			u.health(9) // the request has been taken
+			depart(u)
+			release()
+			s.none("gone")
+		})
+		t.Run(name+" while it waits for room", func(t *testing.T) {
+			s := newStage(t, 1).start()
+			full := s.dial()
+			var asks []ask
+			for id := 100; id < 130; id++ {
+				full.call(id, "page", nil)
+			}
+			full.health(1000)
+			for quiet := false; !quiet; {
+				select {
+				case a := <-s.asked:
+					asks = append(asks, a)
+				case <-time.After(200 * time.Millisecond):
+					quiet = true // all others wait
+				}
+			}
+			if len(asks) == 30 {
+				t.Fatal("none waits")
+			}
+			u := s.dial()
+			u.call(1, "page", nil)
+			u.health(9)
+			depart(u)
+			for answered := 0; answered < 30; answered++ {
+				if len(asks) == 0 {
+					asks = append(asks, s.next("ASK"))
+				}
+				if asks[0].txn == "0000000000000001" {
+					t.Fatal("asked for it")
+				}
+				asks[0].done("x")
+				asks = asks[1:]
+				full.answer()
+			}
+			s.none("gone")
+		})
+		t.Run(name+" as it fails", func(t *testing.T) {
+			s := newStage(t, 2).start()
+			u := s.dial()
+			u.call(1, "page", nil)
+			a := s.next("ASK")
+			depart(u)
+			if q := s.next("QUIT"); q.txn != a.txn {
+				t.Errorf("gives up %s", q.txn)
+			}
+			a.say("BROKE - 0\r\n\r\n")
+			s.none("gone")
+		})
+	}
+}
--- a/cmd/hillknot/stage_test.go
+++ b/cmd/hillknot/stage_test.go
@@ -29,7 +29,7 @@
 	path    string     // of the configuration
 	conf    map[string]any
 	caches  []*prop
-	news    chan net.Conn // calls of the router to the journal, read up to their head
+	calls   chan watch // of the router to the journal
 	journal net.Listener
 	asked   chan ask
 }
@@ -61,7 +61,7 @@
 // newStage returns a stage with so many page caches, whose router is not started yet.
 func newStage(t *testing.T, caches int) *stage {
 	t.Helper()
-	s := &stage{t: t, clients: feed(t), news: make(chan net.Conn, 100), asked: make(chan ask, 1000), journal: feed(t),
+	s := &stage{t: t, clients: feed(t), calls: make(chan watch, 100), asked: make(chan ask, 1000), journal: feed(t),
 		signals: make(chan os.Signal, 4), ended: make(chan error, 1)}
 	var hosts []jsonMap
 	for i := range caches {
@@ -99,12 +99,56 @@
 		if err != nil {
 			return
 		}
+		w := watch{Conn: nc, t: s.t}
 		for in := bufio.NewScanner(nc); in.Scan() && in.Text() != ""; {
+			if from, ok := strings.CutPrefix(in.Text(), "Last-Event-ID: "); ok {
+				w.from = from
+			}
+		}
+		s.calls <- w
+	}
+}
+
+// watch is a call of the router to the journal, which the test answers.
+type watch struct {
+	net.Conn
+	t    *testing.T
+	from string // the event that it goes on from
+}
+
+// watched takes the next call, which must go on from an event, and begins its answer.
+func (s *stage) watched(from string) watch {
+	s.t.Helper()
+	select {
+	case w := <-s.calls:
+		if w.from != from {
+			s.t.Fatalf("the journal is called from event %s, want %s", w.from, from)
 		}
-		s.news <- nc
+		w.raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		return w
+	case <-time.After(20 * time.Second):
+		s.t.Fatal("the journal is not called")
+	}
+	return watch{}
+}
+
+func (w watch) raw(text string) {
+	w.t.Helper()
+	if _, err := io.WriteString(w, text); err != nil {
+		w.t.Fatal(err)
 	}
 }
 
+// tell tells an event: the list's lines, or a purge.
+func (w watch) tell(pos int, full bool, hosts ...jsonMap) {
+	w.t.Helper()
+	text, err := json.Marshal(jsonMap{"pos": pos, "hosts": jsonMap{"reset": full, "instances": hosts}})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.raw(fmt.Sprintf("id: %d\ndata: %s\n\n", pos, text))
+}
+
 // write writes the configuration as it is now.
 func (s *stage) write() {
 	s.t.Helper()
@@ -337,3 +381,14 @@
 	}
 	return fields
 }
+
+// health asks whether the router is ready, and so tells that it has taken all that came before on this connection.
+func (u *user) health(id int) {
+	u.s.t.Helper()
+	b, err := msgpack.Marshal([]any{0, id, "health", []any{map[string]string{}}})
+	if err != nil {
+		u.s.t.Fatal(err)
+	}
+	u.send(b)
+	u.told(id, "true")
+}
--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -3,8 +3,10 @@
 package cachewire
 
 import (
+	"errors"
 	"log/slog"
 	"slices"
+	"syscall"
 	"time"
 
 	"hillknot/brain"
@@ -38,7 +40,7 @@
 	return &Client{core: c, lim: lim, budget: budget, clock: clock, pools: map[*core.Member]*pool{}, at: map[*core.Attempt]*conn{}}
 }
 
-// pool holds the connections to one cache. As many attempts wait as dials are under way, or fewer.
+// pool holds the connections to one cache. Attempts wait only while dials are under way.
 type pool struct {
 	addr    string
 	conns   []*conn
@@ -58,6 +60,7 @@
 	quit  bool // takes nothing new
 	idled time.Duration
 	since time.Duration // it owes answers since then, or since the latest that came
+	said  past          // requests that were answered here lately, and not served
 }
 
 // silent tells whether answers are owed and none has come for long, as on a connection that was cut off without
@@ -66,23 +69,30 @@
 	return len(c.open) > 0 && c.cl.clock()-c.since > c.cl.lim.UpstreamSilent
 }
 
-// past remembers what was given up at a cache, by a QUIT or by closing its connection. A cache reads its
+// past remembers requests for one to two times the longest of all, or for less where there are very many.
+//
+// One holds what was given up at a cache, by a QUIT or by closing its connection. A cache reads its
 // connections in no set order: the same request asked for again on another could reach it before it has read
 // the QUIT or the close, and it would hold two copies at once. On the same connection an answer could cross the
-// QUIT and be taken for the new one. So the same is not asked for again there. It forgets after one to two times
-// the longest request.
+// QUIT and be taken for the new one. So the same is not asked for again there.
+//
+// Another holds what was answered on a connection and not served. An answer may come twice, and the second one late: it
+// would be taken for the end of the next attempt, which may be running.
 type past struct {
 	txns   [2]map[string]bool // young and old
 	turned time.Duration
 }
 
 func (p *past) add(txn string, now, longest time.Duration) {
-	if p.txns[0] == nil || now-p.turned > longest {
+	if p.txns[0] == nil || now-p.turned > longest || len(p.txns[0]) >= pastMost {
 		p.txns[0], p.txns[1], p.turned = map[string]bool{}, p.txns[0], now
 	}
 	p.txns[0][txn] = true
 }
 
+// pastMost bounds each of the two: who asks and gives up as fast as it can must not fill the memory.
+const pastMost = 1 << 12
+
 func (p *past) has(txn string) bool { return p.txns[0][txn] || p.txns[1][txn] }
 
 // Send writes the attempt, at once or when a connection is up.
@@ -98,29 +108,58 @@
 		return
 	}
 	c := p.pick(a)
-	room := p.live()+p.dialing < cl.lim.ConnsPerCache && cl.conns < cl.lim.CacheConns
+	room := p.live()+p.dialing < cl.lim.ConnsPerCache || c == nil && p.barred(a)
+	if room && c == nil && cl.conns >= cl.lim.CacheConns {
+		cl.giveWay()
+	}
+	room = room && cl.conns < cl.lim.CacheConns
 	switch {
-	case c == nil && !room:
-		cl.core.End(a, core.End{Status: brain.ConnectFailed})
-		return
 	case room && (c == nil || len(c.open) > 0):
 		p.waiting = append(p.waiting, a)
 		cl.dial(p)
-	default:
+	case c != nil:
 		cl.write(c, a)
+	case p.dialing > 0: // it shares what comes up
+		p.waiting = append(p.waiting, a)
+	default: // this router has no more connections, which is not the cache's fault
+		cl.core.End(a, core.End{Status: brain.Full})
+	}
+}
+
+// giveWay closes the connection that has been idle for longest, to any cache.
+func (cl *Client) giveWay() {
+	var oldest *conn
+	for _, p := range cl.pools {
+		for _, c := range p.conns {
+			if len(c.open) == 0 && (oldest == nil || c.idled < oldest.idled) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.retire()
 	}
 }
 
 // pick returns the connection with the fewest attempts on it, of those that can take this one.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && !c.barred(a) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
 	return best
 }
 
+// barred tells whether an attempt goes out on any connection but this one: what is answered here twice could prove that it
+// never ran, and it would run again.
+func (c *conn) barred(a *core.Attempt) bool { return a.Unsafe && c.said.has(a.Request.Txn) }
+
+// barred tells whether there is a connection that would do, but for that.
+func (p *pool) barred(a *core.Attempt) bool {
+	return slices.ContainsFunc(p.conns, func(c *conn) bool { return c.barred(a) })
+}
+
 // live is how many connections are of use.
 func (p *pool) live() (n int) {
 	for _, c := range p.conns {
@@ -173,29 +212,64 @@
 	case err != nil:
 		cl.conns--
 		slog.Debug("page cache not reached", "addr", p.addr, "err", err)
-		if a := p.next(); a != nil {
-			cl.core.End(a, core.End{Status: brain.ConnectFailed})
+		failed := brain.ConnectFailed
+		if exhausted(err) { // this router's fault, not the cache's
+			failed = brain.Full
 		}
+		if a := p.next(nil); a != nil {
+			cl.core.End(a, core.End{Status: failed})
+		}
+		cl.share(p, failed)
 	case p.dead:
 		cl.conns--
 		c.nc.Close()
 	case c.quit: // it broke before anything was written, and is to take up no place
 		cl.conns--
-		if a := p.next(); a != nil {
+		if a := p.next(nil); a != nil {
 			cl.again(a)
 		}
+		cl.share(p, brain.ConnectFailed)
 	default:
 		p.conns = append(p.conns, c)
 		cl.free(c)
+		cl.share(p, brain.ConnectFailed)
+	}
+}
+
+// share finds a place for those who wait beyond the dials that are under way: on what is up. Where nothing is, and nothing is
+// to come, they have failed.
+func (cl *Client) share(p *pool, failed brain.Status) {
+	for len(p.waiting) > p.dialing {
+		a := p.next(nil)
+		if c := p.pick(a); c != nil {
+			cl.write(c, a)
+		} else if p.dialing > 0 {
+			p.waiting = append(p.waiting, a)
+			return
+		} else {
+			cl.core.End(a, core.End{Status: failed})
+		}
 	}
 }
 
-func (p *pool) next() *core.Attempt {
-	if len(p.waiting) == 0 {
+// exhausted tells whether a dial failed for want of something that this process has no more of.
+func exhausted(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// next takes the first attempt that waits, for a connection, or for none.
+func (p *pool) next(c *conn) *core.Attempt {
+	i := slices.IndexFunc(p.waiting, func(a *core.Attempt) bool { return c == nil || !c.barred(a) })
+	if i < 0 {
 		return nil
 	}
-	a := p.waiting[0]
-	p.waiting = slices.Delete(p.waiting, 0, 1)
+	a := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
 	return a
 }
 
@@ -203,7 +277,7 @@
 func (cl *Client) free(c *conn) {
 	c.idled = cl.clock()
 	for !c.quit && len(c.open) == 0 {
-		a := c.p.next()
+		a := c.p.next(c)
 		if a == nil {
 			return
 		}
@@ -293,7 +367,7 @@
 			c.retire()
 		}
 	}
-	for a := p.next(); a != nil; a = p.next() {
+	for a := p.next(nil); a != nil; a = p.next(nil) {
 		cl.core.End(a, core.End{Status: brain.ConnectFailed})
 	}
 }
@@ -351,6 +425,17 @@
 		return
 	}
 	c.done(a)
+	if e.Status != brain.OK {
+		if c.said.has(id) { // it may be the same answer once more: the attempt is given up before another is sent
+			c.p.past.add(id, c.since, c.cl.lim.Longest)
+			if err := c.nc.WriteNow(appendQuit(nil, id)); err != nil {
+				c.cl.core.End(a, e)
+				c.lost()
+				return
+			}
+		}
+		c.said.add(id, c.since, c.cl.lim.Longest)
+	}
 	if e.Unchanged && (a.Request.Holds == "" || e.Tag != a.Request.Holds) { // of a copy that this client does not have: spoilt
 		c.cl.core.End(a, core.End{Status: brain.Reset})
 		c.lost()
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -78,6 +78,7 @@
 
 func (b *bench) accept() (net.Conn, *bufio.Reader) {
 	b.t.Helper()
+	_ = b.ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
 	nc, err := b.ln.Accept()
 	if err != nil {
 		b.t.Fatal(err)
@@ -221,6 +222,110 @@
 	b.expect(r, "ASK t2 ")
 }
 
+// More attempts than there may be connections come while these are being dialed: they share what comes up, or fail with it.
+// They failed at once before, and the cache was held to be bad for it.
+func TestMoreThanConnections(t *testing.T) {
+	b := newBench(t)
+	send := func(txns ...string) {
+		b.do(func() { // all before any dial is through
+			for _, txn := range txns {
+				b.cl.Send(&core.Attempt{Node: b.node, Request: &core.Request{Txn: txn, Class: "c", Item: "0a", Nth: "0"}})
+			}
+		})
+	}
+	send("t1", "t2", "t3", "t4", "t5")
+	asked := map[string]bool{}
+	lines := make(chan string, 10)
+	for range 2 {
+		_, r := b.accept()
+		go func() {
+			for {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				if f := strings.Fields(line); len(f) > 1 {
+					lines <- f[1]
+				}
+			}
+		}()
+	}
+	for range 5 {
+		select {
+		case txn := <-lines:
+			asked[txn] = true
+		case <-time.After(10 * time.Second):
+			t.Fatalf("asked for %v only", asked)
+		}
+	}
+	if len(asked) != 5 || len(b.ends) != 0 {
+		t.Errorf("asked for %v, %d ended", asked, len(b.ends))
+	}
+	b.ln.Close()
+	b.do(func() { b.cl.Forget(b.node) })
+	send("t6", "t7", "t8")
+	for range 3 {
+		b.ended(brain.ConnectFailed)
+	}
+}
+
+// Where all connections that there may be are up, the one that has been idle for longest gives way to one to a cache that has
+// none. Where none is idle, it is not the cache that has failed.
+func TestNoConnectionsLeft(t *testing.T) {
+	b := newBench(t)
+	b.cl.lim.CacheConns = 1
+	b.send("t1")
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	other := &core.Member{ID: "s-2", Addr: b.node.Addr}
+	b.do(func() {
+		b.cl.Send(&core.Attempt{Node: other, Request: &core.Request{Txn: "t2", Class: "c", Item: "0a", Nth: "0"}})
+	})
+	b.ended(brain.Full)
+	fmt.Fprint(nc, "t1 DONE - 0\r\n\r\n")
+	b.ended(brain.OK)
+	b.do(func() {
+		b.cl.Send(&core.Attempt{Node: other, Request: &core.Request{Txn: "t3", Class: "c", Item: "0a", Nth: "0"}})
+	})
+	_, second := b.accept()
+	b.expect(second, "ASK t3 ")
+}
+
+// An answer may come twice, the second time late. A request that was turned away, and is asked for at the same cache again, is not
+// ended by the second copy: an order goes out on another connection, and what may be repeated is given up before its end counts.
+func TestAnswerTwice(t *testing.T) {
+	b := newBench(t)
+	order := func(a *core.Attempt) *core.Attempt { a.Unsafe = true; return a }
+	ask := func(txn string) *core.Attempt {
+		return &core.Attempt{Node: b.node, Request: &core.Request{Txn: txn, Class: "c", Item: "0a", Nth: "0"}}
+	}
+	b.do(func() { b.cl.Send(order(ask("t1"))) })
+	nc, r := b.accept()
+	b.expect(r, "ASK t1 ")
+	fmt.Fprint(nc, "t1 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	b.do(func() { b.cl.Send(order(ask("t1"))) })
+	again, second := b.accept()
+	b.expect(second, "ASK t1 ")
+	fmt.Fprint(nc, "t1 WAIT - 0\r\n\r\n")
+	b.send("t2")
+	b.expect(r, "ASK t2 ") // the answer before it has been read
+	fmt.Fprint(nc, "t2 LACK - 0\r\n\r\n")
+	b.ended(brain.Miss)
+	if len(b.ends) != 0 {
+		t.Errorf("the second copy ended the attempt: %+v", <-b.ends)
+	}
+	fmt.Fprint(again, "t1 DONE - 0\r\n\r\n")
+	b.ended(brain.OK)
+	b.send("t2")
+	b.expect(r, "ASK t2 ")
+	fmt.Fprint(nc, "t2 LACK - 0\r\n\r\n") // of the first, or of this
+	b.ended(brain.Miss)
+	b.expect(r, "QUIT t2")
+	b.send("t2")
+	b.ended(brain.Full)
+}
+
 // A reset of an idle connection proves that what is sent next has not run: it goes out again on a new one.
 func TestResetWhenIdle(t *testing.T) {
 	b := newBench(t)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	Index   int
 	Left    time.Duration // how long the cache is told that the router will wait, from when Permit was asked
 	Broken  int           // connections that broke before it was written whole; the upstream counts them
+	Unsafe  bool          // of a class that may not simply be repeated
 
 	owner *request
 	sent  time.Duration
@@ -426,7 +427,8 @@
 		c.events = append(c.events, brain.Outcome{ID: g.ID, Attempt: g.Attempt, Node: g.Node, Status: brain.Moot, Settled: true})
 		return
 	}
-	a := &Attempt{Request: &r.Request, Get: g, Index: g.Attempt, Node: c.members[g.Node], owner: r, sent: c.now, until: r.end}
+	a := &Attempt{Request: &r.Request, Get: g, Index: g.Attempt, Node: c.members[g.Node], Unsafe: c.unsafe[r.Class], owner: r,
+		sent: c.now, until: r.end}
 	if g.Timeout > 0 {
 		a.until = min(a.until, c.now+g.Timeout)
 	}
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -4,6 +4,7 @@
 package journal
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -33,6 +34,7 @@
 	moved chan struct{} // closed when the address has changed
 	now   *netio.Conn   // the open connection; nil: there is none
 	last  int64         // position of the latest event that was handed on
+	again int64         // and when the journal was called again for what should have come behind it; 0: it was not
 	grown chan struct{} // closed when that has changed
 }
 
@@ -76,6 +78,33 @@
 	}
 }
 
+// errMissed says that an event can't be read, or that one before it is missing: the journal is to be called again.
+var errMissed = errors.New("an event is missing")
+
+// take hands on what has come at a position. What can't be read, and what comes behind a gap, is asked for once more: it may
+// have been spoilt on its way, and a drain or a purge must not be passed over. Where it is the same then, that is what
+// the journal holds.
+func (cl *Client) take(e Event, unread error) error {
+	cl.mu.Lock()
+	whole := unread == nil && (e.Pos == cl.last+1 || cl.last == 0)
+	old, first := e.Pos > 0 && e.Pos <= cl.last, cl.again != cl.last+1
+	if !whole && !old {
+		cl.again = cl.last + 1
+	}
+	cl.mu.Unlock()
+	switch {
+	case old:
+		return nil
+	case !whole && first:
+		return fmt.Errorf("%w: position %d comes behind %d, %v", errMissed, e.Pos, cl.last, unread)
+	case unread != nil:
+		slog.Error("journal event not understood, passed over", "pos", e.Pos, "err", unread)
+		e = Event{Pos: e.Pos}
+	}
+	cl.hand(e)
+	return nil
+}
+
 // hand hands an event on, once: an old connection may still bring what a new one has brought. The first
 // event holds the whole list.
 func (cl *Client) hand(e Event) {
@@ -205,16 +234,11 @@
 // Closed implements netio.Handler.
 func (s *session) Closed() { close(s.closed) }
 
-// event hands an event on. One that can't be read is passed over: a new call would bring it again.
+// event takes what has come under an id.
 func (s *session) event(id, data []byte) error {
-	e, err := parse(data)
-	if err != nil {
-		slog.Error("journal event not understood", "id", string(id), "err", err)
-		return nil
-	}
+	e, unread := parse(data)
 	if n, err := strconv.ParseInt(string(id), 10, 64); err == nil {
 		e.Pos = n
 	}
-	s.cl.hand(e)
-	return nil
+	return s.cl.take(e, unread)
 }
