--- a/cmd/hillknot/stage_test.go
+++ b/cmd/hillknot/stage_test.go
@@ -319,6 +319,10 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { nc.Close() })
+	return newUser(s, nc)
+}
+
+func newUser(s *stage, nc net.Conn) *user {
 	nc.SetDeadline(time.Now().Add(20 * time.Second))
 	return &user{s: s, nc: nc, dec: msgpack.NewDecoder(nc)}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -420,3 +420,37 @@
 		}
 	}
 }
+
+// The answer, the client's cancel and the end of its time come in one turn of the loop, in any order: the client has one answer or,
+// if it cancelled first, none; and no attempt follows.
+func TestAllInOneTurn(t *testing.T) {
+	for _, class := range []string{"page", "order"} {
+		for _, status := range []brain.Status{brain.OK, brain.Error, brain.Full} {
+			for _, cancelFirst := range []bool{true, false} {
+				r := newRig(t)
+				id := r.submit(class, second)
+				a := r.out[0]
+				steps := []func(){func() { r.c.Withdraw(id) }, func() { r.Quit(a); r.c.End(a, End{Status: status}) }}
+				if !cancelFirst {
+					steps[0], steps[1] = steps[1], steps[0]
+				}
+				for _, f := range steps {
+					r.c.Post(f)
+				}
+				r.now += second // the time is up, too
+				r.c.Turn()
+				r.wait(2 * second)
+				if len(r.out) > 0 || r.most > 1 {
+					t.Errorf("%s, status %d, cancelled first %v: %d attempts out, %d at once", class, status, cancelFirst, len(r.out), r.most)
+				}
+				want := 0
+				if status == brain.OK && !cancelFirst {
+					want = 1
+				}
+				if len(r.answers) != want {
+					t.Errorf("%s, status %d, cancelled first %v: answers %+v, want %d", class, status, cancelFirst, r.answers, want)
+				}
+			}
+		}
+	}
+}
