--- a/cmd/hillknot/races_test.go
+++ b/cmd/hillknot/races_test.go
@@ -201,14 +201,24 @@
 	w := s.watched("1")
 	u := s.dial()
 	u.call(1, "page", nil)
+	u.health(9) // it has been decided
 	next := &prop{Listener: feed(t), s: s, id: "s-next"}
 	go next.accept()
 	s.caches = append(s.caches, next)
 	w.tell(2, false, s.caches[0].host("draining"), next.host("ready"))
 	v := s.dial()
-	v.call(2, "page", nil)
-	s.next("ASK").done("v")
-	v.told(2, "v") // the list is known
+	for id, known := 2, false; !known; id++ { // until the list is known; before, it is refused when its time is up
+		v.call(id, "page", map[string]string{"limit": "60"})
+		v.health(1000 + id)
+		select {
+		case a := <-s.asked:
+			a.done("v")
+			v.told(id, "v")
+			known = true
+		case <-time.After(10 * time.Millisecond):
+			v.told(id, "Throttled")
+		}
+	}
 	release()
 	a := s.next("ASK") // on the connection that came up late nothing was written
 	if a.at != next || a.txn != "0000000000000001" {
