Test spoilt answers, answers to nobody, and the bytes of two clients over buffers used again

Forced on real connections: eight ways in which a page cache spoils an answer, each for an order, a keyed request and a page (TestSpoiltAnswers), second and late answers and such under unknown ids (TestAnswersToNobody), two clients' requests in pieces of any size while their connections come up late (TestBytesOfTwoClients: red if a body stays a slice of the read buffer, 'asked for ...a under k10 with the body of bbb...'), TCP_NODELAY on both sides (TestNoDelay).

--- a/cmd/hillknot/races_test.go
+++ b/cmd/hillknot/races_test.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -308,3 +313,136 @@
 		})
 	}
 }
+
+// What a page cache does with a request that it has begun, and the answer that it spoils, ends the attempt, and only what may
+// be repeated is asked for again: at another page cache, and under the same key where repeats are dropped by it.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, spoil := range map[string]func(ask){
+		"reset": func(a ask) {
+			_ = a.nc.(*net.TCPConn).SetLinger(0) // fails on a closed connection only
+			a.nc.Close()
+		},
+		"closed":              func(a ask) { a.nc.Close() },
+		"garbled":             func(a ask) { a.say("\x00\xff\r\n") },
+		"cut":                 func(a ask) { a.say("DONE res=cached 100\r\nhalf"); a.nc.Close() },
+		"wrong length":        func(a ask) { a.say("DONE res=cached 3\r\nlonger\r\n") },
+		"3 GB":                func(a ask) { a.say("DONE res=cached 3221225472\r\n%s", strings.Repeat("x", 1<<20)) },
+		"a line that goes on": func(a ask) { a.say("DONE %s", strings.Repeat("x", 1<<16)) },
+		"failed":              func(a ask) { a.say("BROKE - 0\r\n\r\n") },
+	} {
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			s := newStage(t, 2).start()
+			u := s.dial()
+			for id, class := range map[int]string{1: "order", 2: "filed", 3: "page"} {
+				u.call(id, class, map[string]string{"unique": "7a"})
+				a := s.next("ASK")
+				spoil(a)
+				if class == "order" {
+					u.told(id, "Failed")
+					continue
+				}
+				b := s.next("ASK")
+				if b.at == a.at || b.txn != a.txn || b.fields["token"] != a.fields["token"] {
+					t.Errorf("%s: asked %+v, then %+v", class, a, b)
+				}
+				b.done("x")
+				u.told(id, "x")
+			}
+			s.none("behind it")
+		})
+	}
+}
+
+// Second answers, late ones, and such under ids that nobody asked for end nothing but what they belong to.
+func TestAnswersToNobody(t *testing.T) {
+	s := newStage(t, 1).start()
+	u := s.dial()
+	u.call(1, "order", nil)
+	a := s.next("ASK")
+	a.done("first")
+	a.done("second")
+	u.told(1, "first")
+	u.call(2, "order", nil)
+	b := s.next("ASK")
+	b.txn = a.txn
+	b.done("late")
+	b.txn = "00000000000000ff"
+	b.done("nobody's")
+	u.health(3) // nothing has come for the second
+	b.txn = "0000000000000002"
+	b.done("its own")
+	u.told(2, "its own")
+}
+
+// Two clients' requests come in pieces of any size, in turn, over buffers that are used again: each page cache gets each
+// request with its own key and body, and each client its own answer.
+func TestBytesOfTwoClients(t *testing.T) {
+	s := newStage(t, 2)
+	const rounds, each = 4, 20                                  // 32 requests may be open on a connection
+	release := []func(){s.caches[0].hold(), s.caches[1].hold()} // they wait in the router, while more comes in
+	s.start()
+	rnd := rand.New(rand.NewPCG(5, 5))
+	users := []*user{s.dial(), s.dial()}
+	over := make(chan bool)
+	var caches sync.WaitGroup
+	caches.Go(func() {
+		for {
+			var a ask
+			select {
+			case a = <-s.asked:
+			case <-over:
+				return
+			}
+			if a.word != "ASK" {
+				continue
+			}
+			id, _, _ := strings.Cut(a.body, "-")
+			if n, _ := strconv.Atoi(id); a.fields["token"] != "k"+id || a.txn != fmt.Sprintf("%016x", n) {
+				t.Errorf("asked for %s under %s with the body of %s", a.txn, a.fields["token"], id)
+			}
+			a.done("of " + a.body)
+		}
+	})
+	for round := range rounds {
+		rest := make([][]byte, len(users))
+		for n := range each {
+			for i := range users {
+				id := 1000*i + round*each + n + 1
+				own := fmt.Sprintf("%d-%s", id, strings.Repeat(string(rune('a'+i)), rnd.IntN(3000)))
+				rest[i] = append(rest[i], message(id, "filed", own, map[string]string{"unique": fmt.Sprint("k", id), "limit": "3000"})...)
+			}
+		}
+		for len(rest[0])+len(rest[1]) > 0 {
+			i := rnd.IntN(2)
+			n := min(len(rest[i]), 1+rnd.IntN(4000))
+			users[i].send(rest[i][:n])
+			rest[i] = rest[i][n:]
+			if rnd.IntN(8) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		for i, u := range users {
+			for n := range 40 { // the buffers are used again
+				u.send(message(9000+n, "health", strings.Repeat("z", 3000), nil))
+			}
+			release[i]()
+		}
+		for i, u := range users {
+			for n := 0; n < each; n++ {
+				id, word, body, _, err := u.answer()
+				if id >= 9000 {
+					n--
+					continue
+				}
+				if word == "Throttled" && round == 0 {
+					continue // it waited for too long
+				}
+				if err != nil || word != "" || !strings.HasPrefix(body, fmt.Sprintf("of %d-", id)) || id/1000 != i {
+					t.Fatalf("client %d: answer to %d: %q %.30q, %v", i, id, word, body, err)
+				}
+			}
+		}
+	}
+	close(over)
+	caches.Wait()
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hillknot/internal/config"
 )
 
@@ -538,3 +540,19 @@
 		t.Errorf("%d connections are left", n)
 	}
 }
+
+// Small writes go out at once, on both sides: what the system held back would be lost with a reset.
+func TestNoDelay(t *testing.T) {
+	s, _, g := gatedPair(t, lim)
+	dialed, err := Dial(s.Addr().String(), 10*time.Second, lim, NewBudget(1<<20), func(c *Conn) Handler { return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	for name, c := range map[string]*Conn{"accepted": g.c, "dialed": dialed} {
+		on, err := unix.GetsockoptInt(c.nc.(interface{ Fd() int }).Fd(), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+		if err != nil || on != 1 {
+			t.Errorf("%s: TCP_NODELAY %d, %v", name, on, err)
+		}
+	}
+}
