--- a/internal/cachewire/client.go
+++ b/internal/cachewire/client.go
@@ -141,10 +141,12 @@
 	}
 }
 
-// pick returns the connection with the fewest attempts on it, of those that can take this one.
+// pick returns the connection with the fewest attempts on it, of those that can take this one; of idle ones the one that was
+// used last, as a cache may have just closed one that has been idle for long.
 func (p *pool) pick(a *core.Attempt) (best *conn) {
 	for _, c := range p.conns {
-		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && !c.barred(a) && (best == nil || len(c.open) < len(best.open)) {
+		if !c.quit && !c.silent() && c.open[a.Request.Txn] == nil && !c.barred(a) &&
+			(best == nil || len(c.open) < len(best.open) || len(c.open) == len(best.open) && c.idled > best.idled) {
 			best = c
 		}
 	}
--- a/internal/cachewire/client_test.go
+++ b/internal/cachewire/client_test.go
@@ -222,6 +222,26 @@
 	b.expect(r, "ASK t2 ")
 }
 
+// Of idle connections the one that was used last is taken: the cache may have just closed the other, and an order that is written
+// into that may have run.
+func TestIdleConnectionUsedLast(t *testing.T) {
+	b := newBench(t)
+	b.send("t1")
+	older, r1 := b.accept()
+	b.expect(r1, "ASK t1 ")
+	b.send("t2")
+	newer, r2 := b.accept()
+	b.expect(r2, "ASK t2 ")
+	b.now.Store(int64(time.Millisecond))
+	fmt.Fprint(older, "t1 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	b.now.Store(int64(2 * time.Millisecond))
+	fmt.Fprint(newer, "t2 WAIT - 0\r\n\r\n")
+	b.ended(brain.Full)
+	b.send("t3")
+	b.expect(r2, "ASK t3 ")
+}
+
 // More attempts than there may be connections come while these are being dialed: they share what comes up, or fail with it.
 // They failed at once before, and the cache was held to be bad for it.
 func TestMoreThanConnections(t *testing.T) {
