--- a/cmd/hillknot/ends_test.go
+++ b/cmd/hillknot/ends_test.go
@@ -281,13 +281,7 @@
 	if used := cpuOf(t, cmd.Process.Pid) - before; used > 250*time.Millisecond {
 		t.Errorf("%v of processor time in half a second without requests", used)
 	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go s.listen(ln)
-	w := s.watched("1")
+	w := s.backAt(addr)
 	w.tell(2, true, s.caches[2].host("ready"))
 	for id, left := 100, 20; left > 0; id++ {
 		nc, err := dial()
--- a/cmd/hillknot/races_test.go
+++ b/cmd/hillknot/races_test.go
@@ -159,13 +159,7 @@
 	a := s.next("ASK") // it serves meanwhile
 	a.done("x")
 	u.told(1, "x")
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go s.listen(ln)
-	w := s.watched("1")
+	w := s.backAt(addr)
 	w.tell(2, false, s.caches[0].host("draining"))
 	w.tell(3, false)
 	s.watchedBy(w, 2)
--- a/cmd/hillknot/stage_test.go
+++ b/cmd/hillknot/stage_test.go
@@ -132,6 +132,18 @@
 	return watch{}
 }
 
+// backAt has the journal, which was down, take calls again, and takes the first.
+func (s *stage) backAt(addr string) watch {
+	s.t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { ln.Close() })
+	go s.listen(ln)
+	return s.watched("1")
+}
+
 func (w watch) raw(text string) {
 	w.t.Helper()
 	if _, err := io.WriteString(w, text); err != nil {
