failover: skip orders that are forgotten while a lost session is ended

What callers saw: the process of a router crashed in its event loop, and every open request was lost, when its replica took it for lost while as many ended orders were remembered as MaxRecords allows.

Cause: sessionLost walks the sorted keys of the orders and stops the unsent ones. Each stop ends an order, and the ended orders over MaxRecords are forgotten at once: the walk then looks up a key that is gone and follows a nil pointer.

Why this fix works: what is gone had ended, and the walk passes over ended orders anyway. All other loops of the package were read: takeOver, checkOwnerLeases, forgetOldRecords and tickClaims delete only what they stand at, or walk values that stay valid; replicaLost deletes nothing.

--- a/internal/cluster/failover/script_test.go
+++ b/internal/cluster/failover/script_test.go
@@ -30,7 +30,13 @@
 
 func newScript(t *testing.T, routers int) *script {
 	t.Helper()
-	s := &script{simCluster: newSimCluster(t, 1, routers), t: t}
+	return newBoundedScript(t, routers, maxSimRecords)
+}
+
+// newBoundedScript is newScript where routers hold at most so many records.
+func newBoundedScript(t *testing.T, routers, maxRecords int) *script {
+	t.Helper()
+	s := &script{simCluster: newBoundedSimCluster(t, 1, routers, maxRecords), t: t}
 	s.owner = s.routers[0]
 	s.noPauses, s.scripted = true, true
 	s.onEvent = func(e timeline.Event) { s.line = append(s.line, e) }
--- a/internal/cluster/failover/session.go
+++ b/internal/cluster/failover/session.go
@@ -99,6 +99,9 @@
 	c.trace(eventSessionLost, "", session.replica)
 	for _, txn := range slices.Sorted(maps.Keys(c.owned.orders)) {
 		o := c.owned.orders[txn]
+		if o == nil { // it had ended, and was forgotten as this loop stopped others
+			continue
+		}
 		if o.replication.session == session && !o.state.ended() && !o.state.sent() {
 			c.stopOrder(now, txn, o, MayHaveRun, LeaseLostError{session.replica})
 		}
--- a/internal/cluster/failover/sim_cluster_test.go
+++ b/internal/cluster/failover/sim_cluster_test.go
@@ -38,6 +38,8 @@
 	onEvent  func(timeline.Event)
 	noPauses bool // no process pauses between ActionSend and writing
 	scripted bool // a script asks for leases and ends orders
+
+	maxRecords int // Settings.MaxRecords of all routers
 }
 
 type flyingPacket struct {
@@ -55,11 +57,18 @@
 }
 
 func newSimCluster(tb testing.TB, seed uint64, routers int) *simCluster {
+	tb.Helper()
+	return newBoundedSimCluster(tb, seed, routers, maxSimRecords)
+}
+
+// newBoundedSimCluster is newSimCluster where routers hold at most so many records.
+func newBoundedSimCluster(tb testing.TB, seed uint64, routers, maxRecords int) *simCluster {
 	tb.Helper()
 	c := &simCluster{
-		random:  rand.New(rand.NewPCG(seed, 11)),
-		cut:     map[[2]int]bool{},
-		onEvent: func(timeline.Event) {},
+		random:     rand.New(rand.NewPCG(seed, 11)),
+		cut:        map[[2]int]bool{},
+		onEvent:    func(timeline.Event) {},
+		maxRecords: maxRecords,
 	}
 	for i := range routers {
 		c.routers = append(c.routers, &simRouter{index: i, name: fmt.Sprintf("r%d", i), place: fmt.Sprint("p", i%3)})
@@ -77,7 +86,7 @@
 	r.clockRate = 1 + clockDrift*(2*c.random.Float64()-1)
 	r.clockOffset = time.Duration(c.random.Int64N(int64(time.Hour)))
 	settings := Defaults(r.name, r.process, len(c.routers), maxClientWait)
-	settings.Place, settings.ClockDrift, settings.MaxRecords = r.place, clockDrift, maxSimRecords
+	settings.Place, settings.ClockDrift, settings.MaxRecords = r.place, clockDrift, c.maxRecords
 	coordinator, err := New(settings)
 	if err != nil {
 		panic(err) // these settings are the test's own
--- a/internal/cluster/failover/simulation_test.go
+++ b/internal/cluster/failover/simulation_test.go
@@ -14,12 +14,18 @@
 
 // simulate runs a cluster of a seed through faults that end after some time, and checks all orders at each step.
 func simulate(tb testing.TB, seed uint64, faultsEnd time.Duration) (*simCluster, error) {
+	tb.Helper()
+	return simulateBounded(tb, seed, faultsEnd, maxSimRecords)
+}
+
+// simulateBounded is simulate where routers hold at most so many records.
+func simulateBounded(tb testing.TB, seed uint64, faultsEnd time.Duration, maxRecords int) (*simCluster, error) {
 	tb.Helper()
 	const (
 		faultsBegin = 4 * time.Second
 		settleTime  = 8 * time.Second
 	)
-	c := newSimCluster(tb, seed, 3+int(seed%5))
+	c := newBoundedSimCluster(tb, seed, 3+int(seed%5), maxRecords)
 	for c.now < faultsEnd+settleTime {
 		c.step()
 		if c.now > faultsBegin && c.now < faultsEnd && c.random.IntN(80) == 0 {
