hillknot: hear SIGTERM whatever a reload or the start waits for

What callers saw: a router that had been told to end went on until it was killed, and all that was open then was lost. Seven SIGHUPs 10 ms apart and a SIGTERM, while the configuration took 150 ms to read, were enough; so was one reload of a disk that hangs, or a start that waited for its files or for discovery.

Cause: SIGHUP and SIGTERM shared one channel of four places, which package signal never waits for, and the loop that read it carried out each reload itself. What came while four waited was dropped.

Why this fix works: each kind has a channel of its own; one place is enough, as a second signal of a kind asks for nothing more. SIGTERM is read by a goroutine that does nothing else, from before the configuration is read, and counts from when it came. Reloads run beside. A successor that waits for discovery gives up and leaves the clients to its predecessor, which has been told nothing; after that it serves and shuts down as before. The log says which signal it was.

--- a/cmd/hillknot/harness_run_test.go
+++ b/cmd/hillknot/harness_run_test.go
@@ -29,17 +29,33 @@
 		exited:  make(chan error, 1),
 		serving: make(chan net.Addr, 1),
 	}
+	received := newSignals()
+	go deliverSignals(run.signals, received)
 	go func() {
 		run.exited <- runRouter(routerOptions{
 			configPath: configPath,
 			getenv:     os.Getenv,
-			signals:    run.signals,
+			signals:    received,
 			onServing:  func(admin net.Addr) { run.serving <- admin },
 		})
 	}()
 	return run
 }
 
+// deliverSignals hands signals on as package signal does: one that the process has no place for is dropped.
+func deliverSignals(sent <-chan os.Signal, received signals) {
+	for sig := range sent {
+		channel := received.terminate
+		if sig == syscall.SIGHUP {
+			channel = received.reload
+		}
+		select {
+		case channel <- sig:
+		default:
+		}
+	}
+}
+
 // waitUntilServing waits until the router accepts clients, and returns the address of its admin front end.
 func (r *routerRun) waitUntilServing() (admin net.Addr) {
 	r.t.Helper()
--- a/cmd/hillknot/replacement.go
+++ b/cmd/hillknot/replacement.go
@@ -32,16 +32,23 @@
 }
 
 // importState waits until this process has seen the events of discovery that its predecessor has, and goes on from its
-// state. Where that fails the router starts as any new one: cautiously.
-func (r *replacement) importState(p *handover.Predecessor) {
-	if !r.watcher.WaitForPosition(p.DiscoveryPosition, r.limits.HandoverDiscoveryWait) {
+// state. Where that fails the router starts as any new one: cautiously. It returns false if cancel is closed before the
+// predecessor was told anything.
+func (r *replacement) importState(p *handover.Predecessor, cancel <-chan struct{}) bool {
+	caughtUp := r.watcher.WaitForPosition(p.DiscoveryPosition, r.limits.HandoverDiscoveryWait, cancel)
+	select {
+	case <-cancel:
+		return false
+	default:
+	}
+	if !caughtUp {
 		log.Warn("discovery behind predecessor",
 			logging.KeyPosition, r.watcher.Position(), "predecessor_position", p.DiscoveryPosition)
 	}
 	state, err := p.AnnounceReady()
 	if err != nil {
 		log.Warn("hot restart without state", logging.KeyError, err)
-		return
+		return true
 	}
 	done := make(chan struct{})
 	r.core.Post(func() {
@@ -52,6 +59,7 @@
 	memory := state.Snapshot
 	log.Info("hot restart state imported",
 		"endpoints", len(memory.Endpoints), "purges", len(memory.Purges), "objects", len(memory.Objects))
+	return true
 }
 
 // waitForPredecessor takes the whole of the limits once the predecessor has ended.
--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -6,7 +6,7 @@
 	"net"
 	"os"
 	"runtime"
-	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -32,7 +32,7 @@
 	configPath   string
 	operatorPath string              // empty: there is no operator's file
 	getenv       func(string) string // reads the process's environment
-	signals      <-chan os.Signal
+	signals      signals
 	// onServing is called on the core's goroutine once clients are accepted; nil address: there is no admin front end.
 	onServing func(adminAddr net.Addr)
 }
@@ -50,6 +50,7 @@
 
 	cluster     reloader // nil: this router shares nothing
 	replacement *replacement
+	termination *termination
 
 	stop    chan struct{} // closed when the router ends
 	failed  chan error    // what Serve of each front end returned
@@ -68,20 +69,74 @@
 	if options.configPath == "" {
 		return errors.New("no configuration: give -config or RELAY_CONFIG")
 	}
-	cfg, err := config.LoadEnv(options.configPath, options.operatorPath, options.getenv)
-	if err != nil {
+	r := &router{options: options, termination: newTermination(), stop: make(chan struct{})}
+	ended := make(chan struct{})
+	defer close(ended)
+	go r.termination.watch(options.signals.terminate, ended)
+	err := r.run()
+	if errors.Is(err, errTerminated) {
+		log.Info("shutdown before serving", keySignal, r.termination.signal)
+		return nil
+	}
+	return err
+}
+
+// run loads the configuration, starts the router and serves.
+func (r *router) run() error {
+	var err error
+	if r.cfg, err = r.loadConfig(); err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the platform gives a router one core
 	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
 		return fmt.Errorf("configure netpoll: %w", err)
 	}
-	r := &router{options: options, cfg: cfg, stop: make(chan struct{})}
-	defer r.close()
-	if err := r.start(); err != nil {
+	if err := r.awaitStart(); err != nil {
 		return err
 	}
-	return r.handleSignals()
+	defer r.close()
+	return r.serveUntilEnd()
+}
+
+// awaitStart starts the router. A start that hangs, as on a disk that does, holds up a termination for no longer than
+// requests may: nobody is served yet.
+func (r *router) awaitStart() error {
+	started := make(chan error, 1)
+	go func() { started <- r.start() }()
+	var err error
+	select {
+	case err = <-started:
+	case <-r.termination.requested:
+		select {
+		case err = <-started:
+		case <-time.After(r.cfg.Limits.ShutdownTimeout):
+			return errTerminated // what was opened ends with the process: the start may still use it
+		}
+	}
+	if err != nil {
+		r.close()
+	}
+	return err
+}
+
+// loadConfig reads the configuration. A file that can't be read for now, as on a disk that hangs, does not hold up a
+// termination: nothing has been accepted yet.
+func (r *router) loadConfig() (*config.Config, error) {
+	type result struct {
+		cfg *config.Config
+		err error
+	}
+	loaded := make(chan result, 1)
+	go func() {
+		cfg, err := config.LoadEnv(r.options.configPath, r.options.operatorPath, r.options.getenv)
+		loaded <- result{cfg, err}
+	}()
+	select {
+	case l := <-loaded:
+		return l.cfg, l.err
+	case <-r.termination.requested:
+		return nil, errTerminated
+	}
 }
 
 // start builds the router's parts and starts them in the order in which they depend on each other: the core first,
@@ -97,7 +152,9 @@
 	predecessor := r.findPredecessor()
 	r.startCore()
 	r.startOtherFrontEnds()
-	r.takeOver(predecessor)
+	if err := r.takeOver(predecessor); err != nil {
+		return err
+	}
 	if clusterState != nil {
 		if r.cluster, err = joinCluster(r.cfg, r.core, clusterState, r.stop); err != nil {
 			return err
@@ -120,6 +177,7 @@
 	if r.core, err = core.New(r.cfg.Settings, limits, clock.Now); err != nil {
 		return err
 	}
+	r.termination.core.Store(r.core)
 	budget := netio.NewBudget(limits.BufferedBytes)
 	r.upstream = upstream.New(r.core, limits, budget, clock.Now)
 	r.core.SetUpstream(r.upstream)
@@ -200,14 +258,18 @@
 	}
 }
 
-// takeOver goes on from the state of a predecessor; nil: there is none.
-func (r *router) takeOver(predecessor *handover.Predecessor) {
+// takeOver goes on from the state of a predecessor; nil: there is none. A process that is to end by then leaves the
+// clients to the predecessor: errTerminated.
+func (r *router) takeOver(predecessor *handover.Predecessor) error {
 	if predecessor == nil {
-		return
+		return nil
 	}
 	r.onClose(predecessor.Close)
-	r.replacement.importState(predecessor)
+	if !r.replacement.importState(predecessor, r.termination.requested) {
+		return errTerminated
+	}
 	go r.replacement.waitForPredecessor(predecessor, r.stop)
+	return nil
 }
 
 // listenForSuccessor lets a later process replace this one. Where that can't be, the router serves all the same.
@@ -223,8 +285,9 @@
 	r.onClose(listener.Close)
 }
 
-// handleSignals serves until a front end fails or a signal to end has been carried out.
-func (r *router) handleSignals() error {
+// serveUntilEnd serves until a front end fails or the process is to end.
+func (r *router) serveUntilEnd() error {
+	go r.reloadOnSignal()
 	for {
 		select {
 		case err := <-r.failed:
@@ -232,13 +295,9 @@
 				continue
 			}
 			return fmt.Errorf("serve: %w", err)
-		case sig := <-r.options.signals:
-			if sig == syscall.SIGHUP {
-				r.reload()
-				continue
-			}
-			log.Info("shutdown started")
-			r.shutDown()
+		case <-r.termination.requested:
+			log.Info("shutdown started", keySignal, r.termination.signal)
+			r.shutDown(r.termination.at)
 			return nil
 		}
 	}
--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 )
@@ -20,13 +18,11 @@
 
 // serve runs the router as a command.
 func (f *serveFlags) serve(*cobra.Command, []string) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	return runRouter(routerOptions{
 		configPath:   f.configPath,
 		operatorPath: f.operatorPath,
 		getenv:       os.Getenv,
-		signals:      signals,
+		signals:      notifySignals(),
 		onServing:    func(net.Addr) {},
 	})
 }
--- a/cmd/hillknot/shutdown.go
+++ b/cmd/hillknot/shutdown.go
@@ -11,11 +11,11 @@
 const shutdownPollInterval = 10 * time.Millisecond
 
 // shutDown goes on accepting for the grace period, in which clients that have not yet heard of the end still send
-// requests. Then it waits until every request has its final answer, for Limits.ShutdownTimeout in all. Where a successor has
-// taken over, new connections are left to it at once, and the open ones close as on standby.
-func (r *router) shutDown() {
+// requests. Then it waits until every request has its final answer, for Limits.ShutdownTimeout in all. Both count from start,
+// which may be over. Where a successor has taken over, new connections are left to it at once, and the open ones close as on
+// standby.
+func (r *router) shutDown(start time.Duration) {
 	limits := r.cfg.Limits
-	start := r.core.EarliestSignal() // the signal may have come while the process was stopped
 	r.core.Post(func() { r.core.BeginShutdown(start) })
 	for clock.Now()-start < limits.ShutdownTimeout && !r.finishIfNothingOpen(start) {
 		time.Sleep(shutdownPollInterval)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -81,8 +81,8 @@
 }
 
 // WaitForPosition waits until the event at a position is delivered, and returns whether that happened before the
-// timeout.
-func (w *Watcher) WaitForPosition(position int64, timeout time.Duration) bool {
+// timeout and before cancel was closed.
+func (w *Watcher) WaitForPosition(position int64, timeout time.Duration, cancel <-chan struct{}) bool {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
@@ -96,6 +96,8 @@
 		case <-advanced:
 		case <-timer.C:
 			return false
+		case <-cancel:
+			return false
 		}
 	}
 }
