netio: hold what is sent until netpoll has set a connection up

What callers saw: a connection that was accepted and answered in the same moment could be closed at once, with what was sent on it.

Cause: a server makes the handler in netpoll's onPrepare, before netpoll registers the socket. A message that the socket does not take whole then waits for room on a descriptor that the poller does not know (ENOENT), and the failed write closes the connection.

Why this fix works: messages are queued and written once netpoll has called onConnect, which it does before it hands on any input; a close that waits for writes waits for these as well.

--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -49,7 +49,7 @@
 func (c *Conn) CloseAfterWrites() {
 	c.mu.Lock()
 	c.state = c.state.after(stepFlush)
-	written := !c.queue.writing
+	written := !c.queue.writing && len(c.queue.messages) == 0
 	c.mu.Unlock()
 	c.notifyClosed()
 	if written {
--- a/internal/netio/close_test.go
+++ b/internal/netio/close_test.go
@@ -1,7 +1,9 @@
 package netio
 
 import (
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +100,26 @@
 		}
 	}
 }
+
+// What a handler sends as it is made, before netpoll can write to the connection, is written once it can, and a close waits for
+// it. More than the socket takes at once was lost with the connection.
+func TestSendBeforeTheConnectionIsSetUp(t *testing.T) {
+	greeting := strings.Repeat("x", 8<<20)
+	limits := lingering()
+	limits.MaxPendingBytes = 16 << 20
+	for range 50 {
+		s := serveWithBudget(t, 10, limits, NewBudget(1<<25), func(c *Conn) Handler {
+			if err := c.Send([]byte(greeting)); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(time.Millisecond) // netpoll registers the connection after this
+			return echo{c}
+		})
+		nc := dial(t, s.Addr().String())
+		buf := make([]byte, len(greeting))
+		if n, err := io.ReadFull(nc, buf); err != nil {
+			t.Fatalf("after %d of %d bytes: %v", n, len(greeting), err)
+		}
+		nc.Close()
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -75,6 +75,7 @@
 type sendQueue struct {
 	messages [][]byte
 	bytes    int  // of messages, and of those that are being written
+	opened   bool // the transport can be written to; until then messages wait
 	writing  bool // a goroutine is writing, see Conn.writeQueued
 	closed   bool // the transport has closed: nothing of it will be written
 }
@@ -87,6 +88,14 @@
 	return c
 }
 
+// open says that the transport can be written to, and has what was sent before that written.
+func (c *Conn) open() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.opened = true
+	c.startWriting()
+}
+
 // RemoteAddr is the peer's address.
 func (c *Conn) RemoteAddr() net.Addr { return c.transport.RemoteAddr() }
 
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -19,6 +19,7 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	c := newConn(transport, limits, budget)
+	c.open()
 	c.handler = newHandler(c)
 	if err := transport.AddCloseCallback(c.transportClosed); err != nil {
 		c.Close()
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -211,6 +211,7 @@
 		_ = transport.Close() // the close tells the peer that it is rejected
 		return ctx
 	}
+	c.open()
 	if h, ok := c.handler.(OpenHandler); ok {
 		h.Opened()
 	}
--- a/internal/netio/stagedtransport_test.go
+++ b/internal/netio/stagedtransport_test.go
@@ -35,6 +35,7 @@
 	t.Helper()
 	s := &stagedTransport{segments: make(chan struct{}, segmentsInFlight), closed: make(chan struct{})}
 	s.conn = newConn(s, limits, budget)
+	s.conn.open()
 	s.conn.handler = echo{s.conn}
 	t.Cleanup(func() { s.conn.Close() })
 	return s
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -35,13 +35,19 @@
 		c.budget.add(len(b))
 	}
 	c.queue.messages, c.queue.bytes = append(c.queue.messages, b), c.queue.bytes+len(b)
-	if !c.queue.writing {
-		c.queue.writing = true
-		go c.writeQueued()
-	}
+	c.startWriting()
 	return nil
 }
 
+// startWriting has what is queued written, unless that is going on or has to wait. The caller holds c.mu.
+func (c *Conn) startWriting() {
+	if c.queue.writing || !c.queue.opened || len(c.queue.messages) == 0 {
+		return
+	}
+	c.queue.writing = true
+	go c.writeQueued()
+}
+
 // writeQueued writes what is queued until nothing is left or the transport has closed. Send starts it where no
 // other runs.
 func (c *Conn) writeQueued() {
