netio: cut off a reader that takes nothing, and not one that takes less than a third of the buffer

What callers saw: a client on a poor link that read on, but slower than 280 KB/s, lost its connection after 5 s in the middle of its answers, with all that was still to come on it. The same held for the successor of a hot restart over its Unix socket.

Cause: the write time-out ran until netpoll could write again, and the system reports room in a socket only once a third of its send buffer is free (1.4 MB of 4 MB; three quarters of a Unix socket's).

Why this fix works: while a queued write waits, the connection is looked at eight times in the write time-out; it is closed when none of eight looks in a row shows that the peer took anything (TCP_INFO's acknowledged bytes, SIOCOUTQ). Where the system does not say, all looks are alike, and the time-out is as before. A reader that has stopped is cut off as before. A write has a bound of eight time-outs.

--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -27,6 +27,11 @@
 	closeShutdown    CloseReason = "server shutting down"
 )
 
+// The reasons for which any connection is closed.
+const (
+	closeWriteTimeout CloseReason = "peer reads nothing of what is sent"
+)
+
 // traceClose logs why a connection is closed.
 func (c *Conn) traceClose(reason CloseReason) {
 	if log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -12,7 +12,7 @@
 // sent in place of a long reply.
 const maxSmallMessage = 256
 
-// maxBatch is how many bytes are written under one time-out, or a single message.
+// maxBatch is how many bytes are written at a time, or a single message.
 const maxBatch = 256 << 10
 
 // Send queues a message, which it keeps, to be written after those that were sent before. It never blocks. A peer
@@ -51,6 +51,7 @@
 // writeQueued writes what is queued until nothing is left or the transport has closed. Send starts it where no
 // other runs.
 func (c *Conn) writeQueued() {
+	_ = c.transport.SetWriteTimeout(maxWriteTimeouts * c.limits.WriteTimeout) // the watch has the shorter one
 	for {
 		batch, size, linger := c.nextBatch()
 		if linger {
@@ -60,7 +61,7 @@
 			c.retireIfRequested()
 			return
 		}
-		if err := c.flush(batch...); err != nil {
+		if err := c.flushWatched(batch); err != nil {
 			c.Close()
 		}
 		clear(batch) // the messages can be freed
@@ -71,8 +72,16 @@
 	}
 }
 
-// nextBatch takes messages off the queue, as many as may be written under one time-out: a slow reader that reads on
-// must not run into it with all that waits. It returns none where the writer is to end, and then says whether the
+// flushWatched is flush for a peer that may take its time, as long as it reads on.
+func (c *Conn) flushWatched(batch [][]byte) error {
+	if c.limits.WriteTimeout > 0 {
+		defer c.watchWrite().end()
+	}
+	return c.flush(batch...)
+}
+
+// nextBatch takes messages off the queue, as many as are written at a time: a slow reader that reads on must not run
+// into the bound of one write with all that waits. It returns none where the writer is to end, and then says whether the
 // connection, which is flushed by that, is to linger.
 func (c *Conn) nextBatch() (batch [][]byte, size int, linger bool) {
 	c.mu.Lock()
@@ -111,7 +120,8 @@
 }
 
 // WriteSync writes before it returns. It blocks only while the socket's buffer is full, and for the write time-out
-// at most; after an error the connection is of no more use. It may not be mixed with Send.
+// at most, also where the peer reads on slowly: its caller has others to serve. After an error the connection is of no
+// more use. It may not be mixed with Send.
 func (c *Conn) WriteSync(b []byte) error {
 	if err := c.flush(b); err != nil {
 		c.Close()
--- a/internal/netio/write_test.go
+++ b/internal/netio/write_test.go
@@ -113,8 +113,8 @@
 // A reader is cut off only when it reads nothing for the write time-out. This one reads something ten times within
 // it, for twice that long, and then all the rest at once.
 //
-// It fails: the system reports room in a socket only once a third of its send buffer is free, some 1.4 MB of a
-// buffer that has grown to 4 MB. The write that waits for room runs into its time-out before that.
+// The system reports room in a socket only once a third of its send buffer is free, some 1.4 MB of a buffer that has
+// grown to 4 MB. The write that waits for room once ran into its time-out before that.
 func TestReaderThatNeverStopsIsNotCutOff(t *testing.T) {
 	limits := lim
 	limits.WriteTimeout, limits.MaxPendingBytes = 2*time.Second, 16<<20
--- /dev/null
+++ b/internal/netio/writewatch_test.go
@@ -0,0 +1,70 @@
+package netio
+
+import (
+	"net"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A reader over a Unix socket, as the other process of a hot restart, is held to the same rule as one over TCP: it is cut off
+// when it reads nothing for the write time-out, and not when it reads slowly.
+func TestSlowReaderOverUnixSocket(t *testing.T) {
+	limits := lim
+	limits.WriteTimeout, limits.MaxPendingBytes = time.Second, 16<<20
+	conns := make(chan *Conn, 2)
+	path := filepath.Join(t.TempDir(), "s")
+	s, err := Listen(path, 10, limits, NewBudget(1<<25), func(c *Conn) Handler { conns <- c; return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(s.Close)
+	connect := func() (net.Conn, *Conn) {
+		nc, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(20 * time.Second))
+		return nc, <-conns
+	}
+	slow, toSlow := connect()
+	stopped, toStopped := connect()
+	sendAll(t, toSlow)
+	sendAll(t, toStopped)
+	const total = slowReaderMessages * slowReaderMessageSize
+	start, got, buf := time.Now(), 0, make([]byte, 8<<10)
+	for got < total {
+		n, err := slow.Read(buf)
+		if err != nil {
+			t.Fatalf("after %d of %d bytes: %v", got, total, err)
+		}
+		got += n
+		if time.Since(start) < 2*limits.WriteTimeout {
+			time.Sleep(limits.WriteTimeout / 10)
+		}
+	}
+	for toStopped.transport.IsActive() && time.Since(start) < 10*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	if toStopped.transport.IsActive() {
+		t.Error("the one that stopped is still open")
+	}
+	stopped.Close()
+}
+
+// A write whose peer reads on has a bound all the same: the transport ends it after so many write time-outs.
+func TestWriteHasABound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := newStagedTransport(t, lim, NewBudget(1<<20))
+		if err := peer.conn.Send([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if want := maxWriteTimeouts * lim.WriteTimeout; peer.writeTimeout != want {
+			t.Errorf("a write may take %v, want %v", peer.writeTimeout, want)
+		}
+	})
+}
