netio: serve on with a new event loop after a pause of accept

What callers saw, after errors of accept(2) that last, such as a lack of descriptors in a crowd: - a server that was closed while it paused took another listener of the process off the poller, or its connections: it took no connections any more; - from the second pause on, the poller itself waited for the end of the pause, up to 100 ms at a time, with all connections; - a router that left its socket to a successor after any pause turned its poller at full load as long as connections came.

Cause: netpoll's own pause after EMFILE, which we used for all pauses. Its goroutine registers the listener's descriptor again without knowing of a close, when the number may be another's; and an operator of netpoll can be taken off its poller only once, so the second pause and the stop left it on.

Only the first was known; the others came from reading netpoll for it.

Why this fix works: a pause is told to netpoll as the end of the listener, which it takes off the poller, once, and ends the event loop. Serve waits for the end of the pause, or of the server, and goes on with another loop; connections live on without theirs. No goroutine of netpoll is left, and a lock keeps accept(2) off a descriptor that is closed.

Tests: the state "stopped while paused" is gone, and with it its row in TestAcceptStateTransitions; a stop is still never lost and only the end of a pause ends it. TestServesThroughAcceptErrors has subtests now that servers no longer disturb each other as they close.

--- a/internal/netio/accept.go
+++ b/internal/netio/accept.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,7 +16,11 @@
 // pausableListener is a listener for netpoll that can stop accepting without closing what it has accepted, and
 // pauses after errors that last. What still arrives waits for others who have the same socket. Unlike netpoll's own
 // listener it holds one descriptor, which is never made blocking (it would block for another process that has it
-// too) and never closed twice (by then the number may be another's).
+// too) and never used or closed once it is closed (by then the number may be another's).
+//
+// Netpoll is told of a pause as of an end: it takes the listener off its poller, for good. Server.Serve goes on with
+// another event loop once the pause is over. Netpoll's own pause would register the number of a descriptor that may
+// be closed by then, and can take a listener off the poller only once.
 type pausableListener struct {
 	net.Listener
 	fd          int
@@ -25,6 +30,9 @@
 	failures    atomic.Int32 // calls of accept(2) in a row that failed
 	pausesInRow atomic.Int32
 
+	mu     sync.Mutex // held while fd is used or closed
+	closed bool       // fd is no longer this listener's
+
 	// holdOff says whether new connections are to wait in the queue of the socket, for others that have been
 	// evicted and have yet to close. exhausted is called where the process or the machine lacks what a connection
 	// needs. Both may be nil.
@@ -44,9 +52,8 @@
 	maxPauseDoublings = 5
 )
 
-// errPause has netpoll take the listener off its poller, and call Accept in a goroutine of its own until no error
-// comes.
-const errPause = syscall.EMFILE
+// errPaused says that the listener accepts nothing for a while.
+var errPaused = fmt.Errorf("accept paused: %w", net.ErrClosed)
 
 // acceptFunc is accept4(2) with the flags that the connections need.
 type acceptFunc func(listener int) (fd int, peer syscall.Sockaddr, err error)
@@ -75,22 +82,16 @@
 // Accept implements net.Listener in the way that netpoll wants: it returns nil where no connection waits. Netpoll
 // takes a listener off its poller at an error that says "closed".
 func (l *pausableListener) Accept() (net.Conn, error) {
-	before := l.state.resume()
-	switch before {
-	case acceptStoppedPaused:
-		return nil, nil // back on the poller, which is told by the next call
-	case acceptStopped:
+	if l.state.load() != accepting {
 		return nil, net.ErrClosed
-	case acceptPaused: // this call does not hold up the poller
-		time.Sleep(min(minPause<<min(l.pausesInRow.Load(), maxPauseDoublings), maxPause))
 	}
 	if l.holdOff != nil && l.holdOff() {
 		runtime.Gosched() // to the goroutines in which connections close
 		return nil, nil
 	}
-	fd, peer, err := l.accept(l.fd)
+	fd, peer, err := l.acceptOpen()
 	if err != nil {
-		return nil, l.acceptFailed(err, before)
+		return nil, l.acceptFailed(err)
 	}
 	l.failures.Store(0)
 	l.pausesInRow.Store(0)
@@ -100,30 +101,57 @@
 	return acceptedConn{fd: fd, local: l.Addr(), remote: peerAddr(peer)}, nil
 }
 
+// acceptOpen calls accept(2), unless the listener is closed.
+func (l *pausableListener) acceptOpen() (fd int, peer syscall.Sockaddr, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return -1, nil, net.ErrClosed
+	}
+	return l.accept(l.fd)
+}
+
+// Close implements net.Listener.
+func (l *pausableListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	return l.Listener.Close()
+}
+
 // acceptFailed returns what netpoll is to do about an error of accept(2): nil to call again as soon as the socket
-// is ready, or errPause. The socket stays ready for as long as any connection waits in its queue: after an error
+// is ready, or errPaused. The socket stays ready for as long as any connection waits in its queue: after an error
 // that lasts it must not be looked at again at once.
-func (l *pausableListener) acceptFailed(err error, before acceptState) error {
+func (l *pausableListener) acceptFailed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return err
+	}
 	tooMany := l.failures.Add(1) >= maxFailures
 	cause := causeOfAcceptError(err)
-	switch cause {
-	case emptyQueue:
-		if before == acceptPaused {
-			return nil
-		}
-	case noResources:
-		if l.exhausted != nil {
-			l.exhausted()
-		}
+	if cause == noResources && l.exhausted != nil {
+		l.exhausted()
 	}
 	if !tooMany && (cause == emptyQueue || cause == connectionFailed) {
 		return nil
 	}
+	l.pause(err)
+	return errPaused
+}
+
+// pause has the listener accept nothing until resume is called.
+func (l *pausableListener) pause(cause error) {
 	if l.pausesInRow.Add(1) == 1 {
-		log.Warn("accept paused", logging.KeyListen, l.Addr(), logging.KeyError, err)
+		log.Warn("accept paused", logging.KeyListen, l.Addr(), logging.KeyError, cause)
 	}
 	l.state.pause()
-	return errPause
+}
+
+// pauseLength is how long the present pause lasts.
+func (l *pausableListener) pauseLength() time.Duration {
+	return min(minPause<<min(l.pausesInRow.Load(), maxPauseDoublings), maxPause)
 }
 
 // acceptErrorCause groups the errors of accept(2) by what they are due to.
--- a/internal/netio/accept_test.go
+++ b/internal/netio/accept_test.go
@@ -31,21 +31,23 @@
 // peers that wait to be accepted are served once accept succeeds again.
 func TestServesThroughAcceptErrors(t *testing.T) {
 	const span, most = 400 * time.Millisecond, 100 // calls
-	// Not as subtests: they would close each server at once, and one that closes while it is paused disturbs the next.
 	for _, errno := range acceptErrors {
-		s, err := Listen("127.0.0.1:0", 100, lim, NewBudget(1<<20), newEcho)
-		if err != nil {
-			t.Fatal(err)
-		}
-		calls := failFor(s, errno, span)
-		go s.Serve()
-		t.Cleanup(s.Close)
-		for range 3 {
-			echoed(t, dial(t, s.Addr().String()))
-		}
-		if n := calls.Load(); n > most {
-			t.Errorf("%v: %d calls in %v, want at most %d", errno, n, span, most)
-		}
+		t.Run(errno.Error(), func(t *testing.T) {
+			t.Parallel()
+			s, err := Listen("127.0.0.1:0", 100, lim, NewBudget(1<<20), newEcho)
+			if err != nil {
+				t.Fatal(err)
+			}
+			calls := failFor(s, errno, span)
+			go s.Serve()
+			t.Cleanup(s.Close)
+			for range 3 {
+				echoed(t, dial(t, s.Addr().String()))
+			}
+			if n := calls.Load(); n > most {
+				t.Errorf("%d calls in %v, want at most %d", n, span, most)
+			}
+		})
 	}
 }
 
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -17,7 +19,6 @@
 // to be sent first, Shutdown, and at last Close.
 type Server struct {
 	listener   *pausableListener
-	loop       netpoll.EventLoop
 	limits     config.ConnLimits
 	budget     *Budget
 	newHandler func(*Conn) Handler
@@ -25,10 +26,11 @@
 	conns  sync.Map // the connections that are open, by *Conn
 	places places
 
-	mu      sync.Mutex // guards state
+	mu      sync.Mutex // guards state and loop
 	state   serverState
-	closing chan struct{} // closed by Close: the sweeper is to end
-	served  chan struct{} // closed as Serve returns
+	loop    netpoll.EventLoop // the latest; each pause of the listener ends one
+	closing chan struct{}     // closed by Close: the sweeper is to end
+	served  chan struct{}     // closed as Serve returns
 	sweeper sync.WaitGroup
 
 	// IdleTimeouts, if set before Serve, returns how long connections without pending replies may stay at present:
@@ -86,14 +88,17 @@
 	listener.holdOff = s.holdOffNew
 	listener.exhausted = func() { s.evict(rankIdle) }
 	s.SetMaxConns(maxConns)
-	s.loop, err = netpoll.NewEventLoop(s.onRequest, netpoll.WithOnPrepare(s.onPrepare), netpoll.WithOnConnect(s.onConnect))
-	if err != nil {
+	if s.loop, err = s.newLoop(); err != nil {
 		_ = ln.Close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return s, nil
 }
 
+func (s *Server) newLoop() (netpoll.EventLoop, error) {
+	return netpoll.NewEventLoop(s.onRequest, netpoll.WithOnPrepare(s.onPrepare), netpoll.WithOnConnect(s.onConnect))
+}
+
 // Addr is the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
@@ -110,10 +115,55 @@
 		return s.listener.Close() // Close leaves this to Serve, which owns the listener once it is called
 	}
 	defer close(s.served)
-	if err := s.loop.Serve(s.listener); err != nil && !s.listener.state.isStopped() {
-		return err
+	for {
+		err := s.currentLoop().Serve(s.listener)
+		if err == nil || s.listener.state.load() == acceptStopped {
+			return nil
+		}
+		if isLackOfResources(err) { // the poller has not taken the listener
+			s.listener.pause(err)
+		}
+		if s.listener.state.load() != acceptPaused {
+			return err
+		}
+		if again, err := s.resumeAfterPause(); !again {
+			return err
+		}
+	}
+}
+
+// isLackOfResources says, of an error of epoll_ctl(2), that the machine lacks something for the time being.
+func isLackOfResources(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOSPC)
+}
+
+// resumeAfterPause waits until the pause of the listener is over, and makes the loop that is to serve it then. It
+// returns false where the server closes or no longer accepts.
+func (s *Server) resumeAfterPause() (bool, error) {
+	pause := time.NewTimer(s.listener.pauseLength())
+	defer pause.Stop()
+	select {
+	case <-s.closing:
+		return false, nil
+	case <-pause.C:
+	}
+	loop, err := s.newLoop()
+	if err != nil {
+		return false, err
 	}
-	return nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == serverClosed || s.listener.state.resume() == acceptStopped {
+		return false, nil
+	}
+	s.loop = loop
+	return true, nil
+}
+
+func (s *Server) currentLoop() netpoll.EventLoop {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loop
 }
 
 // startServing starts the sweeper, unless Close was called before.
@@ -165,7 +215,7 @@
 func (s *Server) stopLoop() {
 	ctx, cancel := context.WithTimeout(context.Background(), loopStopTimeout)
 	defer cancel()
-	_ = s.loop.Shutdown(ctx)
+	_ = s.currentLoop().Shutdown(ctx)
 }
 
 // awaitServe waits until Serve has returned. The loop is stopped again meanwhile: a stop is lost on a loop that is
--- a/internal/netio/state_test.go
+++ b/internal/netio/state_test.go
@@ -27,13 +27,12 @@
 	}
 }
 
-// A stop is never lost, and only a call of Accept ends a pause.
+// A stop is never lost, and only the end of a pause ends it.
 func TestAcceptStateTransitions(t *testing.T) {
 	for _, c := range []struct{ from, stopped, paused, resumed acceptState }{
 		{accepting, acceptStopped, acceptPaused, accepting},
-		{acceptPaused, acceptStoppedPaused, acceptPaused, accepting},
-		{acceptStopped, acceptStopped, acceptStoppedPaused, acceptStopped},
-		{acceptStoppedPaused, acceptStoppedPaused, acceptStoppedPaused, acceptStopped},
+		{acceptPaused, acceptStopped, acceptPaused, accepting},
+		{acceptStopped, acceptStopped, acceptStopped, acceptStopped},
 	} {
 		if got := c.from.stopped(); got != c.stopped {
 			t.Errorf("state %d stopped: %d, want %d", c.from, got, c.stopped)
