hillknot: serve on when a front end fails, and end in order when clients can't be served

What callers saw: one failing read of a DNS query, or whatever else ended a front end that is off on the platform, ended the whole router at once, with every open request of its clients.

Cause: serveUDP returned any error of recvmsg(2), although ENOMEM and ENOBUFS pass; and the first Serve that returned an error made runRouter return, which closes everything without a shutdown.

Why this fix works: all errors of reading a datagram but those of a descriptor that can't be read (EBADF, EFAULT, EINVAL, ENOTSOCK) are waited out, 1 to 100 ms at a time. A front end that fails is named in the log and the rest serves on; without the clients' one the router answers what is open, as after SIGTERM, and ends with an error. A listener on which accept(2) fails for a reason that stays is reported now, and no longer paused without end.

--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -45,16 +45,16 @@
 	upstream *upstream.Client
 	watcher  *discovery.Watcher
 	clients  *msgpackrpc.Server
-	others   []frontEnd // all front ends but clients
-	admin    net.Addr   // of the admin front end; nil: there is none
+	others   []namedFrontEnd // all front ends but clients
+	admin    net.Addr        // of the admin front end; nil: there is none
 
 	cluster     reloader // nil: this router shares nothing
 	replacement *replacement
 	termination *termination
 
 	stop    chan struct{} // closed when the router ends
-	failed  chan error    // what Serve of each front end returned
-	closers []func()      // called in reverse order when the router ends
+	failed  chan frontEndFailure
+	closers []func() // called in reverse order when the router ends
 }
 
 // frontEnd accepts calls on a socket of its own.
@@ -63,6 +63,21 @@
 	Close()
 }
 
+// namedFrontEnd is a front end with its name in log lines.
+type namedFrontEnd struct {
+	frontEnd
+	name string
+}
+
+// clientFrontEnd is the name of the front end without which a router is of no use.
+const clientFrontEnd = "clients"
+
+// frontEndFailure is what Serve of a front end returned; nil: it no longer accepts.
+type frontEndFailure struct {
+	name string
+	err  error
+}
+
 // runRouter serves until SIGTERM or SIGINT comes and every request that was read has its final answer. On SIGHUP it
 // reads the configuration again.
 func runRouter(options routerOptions) error {
@@ -160,7 +175,7 @@
 			return err
 		}
 	}
-	go func() { r.failed <- r.clients.Serve() }()
+	go func() { r.failed <- frontEndFailure{clientFrontEnd, r.clients.Serve()} }()
 	r.listenForSuccessor()
 	r.core.Post(func() {
 		r.core.ReleaseStart()
@@ -212,14 +227,14 @@
 		if err != nil {
 			return fmt.Errorf("dns: %w", err)
 		}
-		r.others = append(r.others, front)
+		r.others = append(r.others, namedFrontEnd{front, "dns"})
 	}
 	if r.cfg.AgentCheckAddr != "" {
 		front, err := agentcheck.Listen(r.cfg.AgentCheckAddr, r.core, limits)
 		if err != nil {
 			return fmt.Errorf("agent checks: %w", err)
 		}
-		r.others = append(r.others, front)
+		r.others = append(r.others, namedFrontEnd{front, "agent check"})
 	}
 	if r.cfg.AdminAddr != "" {
 		front, err := admin.Listen(r.cfg.AdminAddr, r.core, limits)
@@ -227,7 +242,7 @@
 			return fmt.Errorf("operators' address: %w", err)
 		}
 		r.admin = front.Addr()
-		r.others = append(r.others, front)
+		r.others = append(r.others, namedFrontEnd{front, "admin"})
 	}
 	return nil
 }
@@ -251,10 +266,10 @@
 }
 
 func (r *router) startOtherFrontEnds() {
-	r.failed = make(chan error, len(r.others)+1) // one for each front end, so that no Serve waits to report
+	r.failed = make(chan frontEndFailure, len(r.others)+1) // one for each front end, so that no Serve waits to report
 	for _, front := range r.others {
 		r.onClose(front.Close)
-		go func() { r.failed <- front.Serve() }()
+		go func() { r.failed <- frontEndFailure{front.name, front.Serve()} }()
 	}
 }
 
@@ -285,16 +300,21 @@
 	r.onClose(listener.Close)
 }
 
-// serveUntilEnd serves until a front end fails or the process is to end.
+// serveUntilEnd serves until the process is to end, or until clients can't be served any more: then, too, what is open is
+// answered first. Any other front end that fails is reported, and the rest serves on.
 func (r *router) serveUntilEnd() error {
 	go r.reloadOnSignal()
 	for {
 		select {
-		case err := <-r.failed:
-			if err == nil { // the front end no longer accepts
+		case failure := <-r.failed:
+			if failure.err == nil {
 				continue
 			}
-			return fmt.Errorf("serve: %w", err)
+			log.Error("front end failed", keyFrontEnd, failure.name, logging.KeyError, failure.err)
+			if failure.name == clientFrontEnd {
+				r.shutDown(clock.Now())
+				return fmt.Errorf("serve clients: %w", failure.err)
+			}
 		case <-r.termination.requested:
 			log.Info("shutdown started", keySignal, r.termination.signal)
 			r.shutDown(r.termination.at)
@@ -303,6 +323,9 @@
 	}
 }
 
+// keyFrontEnd is the key of the name of a front end in log lines.
+const keyFrontEnd = "front_end"
+
 func (r *router) onClose(f func()) { r.closers = append(r.closers, f) }
 
 // close closes the parts that were started, the latest first. The goroutines that watch r.stop end on their own: the
--- a/internal/frontend/dns/server.go
+++ b/internal/frontend/dns/server.go
@@ -37,6 +37,7 @@
 	udp    *net.UDPConn // netpoll has no UDP
 	tcp    *netio.Server
 
+	readUDP readDatagram
 	openUDP atomic.Int64 // queries over UDP without an answer
 }
 
@@ -72,6 +73,7 @@
 		s.tcp.Close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	s.readUDP = s.udp.ReadFromUDPAddrPort
 	return s, nil
 }
 
--- a/internal/frontend/dns/server_test.go
+++ b/internal/frontend/dns/server_test.go
@@ -83,6 +83,14 @@
 const name = "scores.example.org"
 
 func start(t *testing.T, answers int) *site {
+	t.Helper()
+	s := prepare(t, answers)
+	go s.f.Serve()
+	return s
+}
+
+// prepare is start for tests that call Serve themselves.
+func prepare(t *testing.T, answers int) *site {
 	t.Helper()
 	s := &site{t: t, now: 1e6 * time.Second}
 	conn := config.ConnLimits{MaxPendingBytes: 1 << 18, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, SilentTimeout: time.Minute}
@@ -102,7 +110,6 @@
 	}
 	stop := make(chan struct{})
 	go c.Run(stop)
-	go s.f.Serve()
 	t.Cleanup(func() { s.f.Close(); close(stop) })
 	return s
 }
--- a/internal/frontend/dns/transport.go
+++ b/internal/frontend/dns/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"hillknot/internal/logging"
 	"hillknot/internal/netio"
@@ -15,17 +16,26 @@
 // maxQueryUDP bounds a query over UDP, in bytes.
 const maxQueryUDP = 4096
 
-// serveUDP reads queries over UDP until Close. Above the limit of open queries they are dropped: resolvers retry.
+// readDatagram reads a datagram into a buffer, as net.UDPConn does.
+type readDatagram func(buf []byte) (n int, from netip.AddrPort, err error)
+
+// serveUDP reads queries over UDP until Close, or until the socket is of no more use. Above the limit of open queries they are
+// dropped: resolvers retry.
 func (s *Server) serveUDP() error {
 	buf := make([]byte, maxQueryUDP)
+	var pause readPause
 	for {
-		n, from, err := s.udp.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		n, from, err := s.readUDP(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case isPermanentReadError(err):
 			return fmt.Errorf("read: %w", err)
+		case err != nil:
+			pause.wait(err)
+			continue
 		}
+		pause.reset()
 		if s.openUDP.Load() >= int64(s.limits.OpenQueries) {
 			continue
 		}
@@ -42,6 +52,39 @@
 	}
 }
 
+// isPermanentReadError tells, of an error of recvmsg(2), that the descriptor is no socket that can be read: no later call
+// will do better. All others pass, such as a lack of memory, or come from the network.
+func isPermanentReadError(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EBADF, syscall.EFAULT, syscall.EINVAL, syscall.ENOTSOCK} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// A pause after an error of reading lasts minReadPause at first, and twice as long each time, up to maxReadPause.
+const (
+	minReadPause = time.Millisecond
+	maxReadPause = 100 * time.Millisecond
+)
+
+// readPause keeps a socket whose reads fail from being read without end.
+type readPause struct{ length time.Duration }
+
+// wait waits after an error, the first of which in a row is logged.
+func (p *readPause) wait(err error) {
+	if p.length == 0 {
+		p.length = minReadPause
+		log.Warn("reading queries fails", logging.KeyError, err)
+	}
+	time.Sleep(p.length)
+	p.length = min(2*p.length, maxReadPause)
+}
+
+// reset notes that a read succeeded.
+func (p *readPause) reset() { p.length = 0 }
+
 // sendUDP sends a datagram, or drops it where the socket's buffer is full: the core may not wait. A write deadline would
 // not do, as it can be over before the write has begun on a busy machine.
 func (s *Server) sendUDP(b []byte, to netip.AddrPort) error {
--- a/internal/netio/accept.go
+++ b/internal/netio/accept.go
@@ -123,7 +123,7 @@
 }
 
 // acceptFailed returns what netpoll is to do about an error of accept(2): nil to call again as soon as the socket
-// is ready, or errPaused. The socket stays ready for as long as any connection waits in its queue: after an error
+// is ready, or errPaused, or that the listener is of no more use, which ends Serve. The socket stays ready for as long as any connection waits in its queue: after an error
 // that lasts it must not be looked at again at once.
 func (l *pausableListener) acceptFailed(err error) error {
 	if errors.Is(err, net.ErrClosed) {
@@ -131,6 +131,9 @@
 	}
 	tooMany := l.failures.Add(1) >= maxFailures
 	cause := causeOfAcceptError(err)
+	if cause == listenerBroken {
+		return fmt.Errorf("%w: %w", net.ErrClosed, err)
+	}
 	if cause == noResources && l.exhausted != nil {
 		l.exhausted()
 	}
@@ -162,6 +165,7 @@
 	emptyQueue                        // no connection waits, or another process was quicker
 	connectionFailed                  // the connection has failed already, and is out of the queue
 	noResources                       // the process or the machine lacks descriptors or memory
+	listenerBroken                    // no later call will do better: the socket does not listen any more
 )
 
 func causeOfAcceptError(err error) acceptErrorCause {
@@ -173,6 +177,8 @@
 		return connectionFailed
 	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM:
 		return noResources
+	case syscall.EBADF, syscall.EFAULT, syscall.EINVAL, syscall.ENOTSOCK:
+		return listenerBroken
 	}
 	return unknownCause
 }
