msgpackrpc: count a reply as given only once one was sent

What callers saw: a request whose answer did not fit into the memory for answers got none at all when its connection was closing: after malformed input, a message id that came twice, or as the process ended. It got the end of the connection.

Cause: conn.send takes the reply off the pending ones whether it was sent or not, and conn.reply put it back for the short error that follows. In between nothing was pending, and a connection that waits for its last reply closed.

Why this fix works: both tries to answer come before the reply is counted, so there is no moment at which none is pending. An eviction and an idle close look at the same count under the same lock; they are not played one by one.

--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -140,28 +140,42 @@
 }
 
 // reply delivers an answer and returns the verdict that the client is told. Where the memory for waiting answers is used
-// up, the request fails: to close the connection would lose all other requests on it.
+// up, the request fails: to close the connection would lose all other requests on it. The reply is pending until one of
+// the two is sent, so that a connection that is closing waits for it.
 func (c *conn) reply(messageID uint64, a core.Answer) core.Verdict {
-	if err := c.send(appendAnswer(nil, messageID, a)); !errors.Is(err, netio.ErrBudgetExceeded) {
-		return a.Verdict
+	verdict := a.Verdict
+	err := c.write(appendAnswer(nil, messageID, a))
+	if errors.Is(err, netio.ErrBudgetExceeded) {
+		verdict = core.Failed
+		err = c.write(rpc.AppendErrorResponse(nil, messageID, codeFailed))
 	}
-	c.nc.AddPendingReplies(1) // the answer is still owed
-	_ = c.send(rpc.AppendErrorResponse(nil, messageID, codeFailed))
-	return core.Failed
+	c.replied(err)
+	return verdict
 }
 
 // send sends the response to one request. It fails where the client has closed the connection, or where the response
 // is too long for the memory that is left.
 func (c *conn) send(response []byte) error {
+	err := c.write(response)
+	c.replied(err)
+	return err
+}
+
+// write queues a response.
+func (c *conn) write(response []byte) error {
 	err := c.nc.Send(response)
 	if err != nil {
 		log.Debug("response not sent", logging.KeyClient, c.nc.RemoteAddr(), logging.KeyError, err)
 	}
+	return err
+}
+
+// replied counts the reply to one request as given, with the error of writing it.
+func (c *conn) replied(err error) {
 	c.nc.AddPendingReplies(-1)
 	if err == nil && c.server.core.DrainStage() >= core.CloseAfterResponse {
 		c.nc.CloseWhenIdle()
 	}
-	return err
 }
 
 // codeFailed is the error code of a request that may have run.
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hillknot/balancer"
+	"hillknot/internal/clock"
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/netio"
@@ -46,6 +47,13 @@
 }
 
 func open(t *testing.T) (*fakeCore, func() *client) {
+	t.Helper()
+	d, _, dial := openServer(t)
+	return d, dial
+}
+
+// openServer is open for tests that call the server.
+func openServer(t *testing.T) (*fakeCore, *Server, func() *client) {
 	t.Helper()
 	d := &fakeCore{posts: make(chan func(), 100), submitted: make(chan core.Request, 100), cancelled: make(chan balancer.RequestID, 100)}
 	d.phase.Store(int64(core.Serving))
@@ -68,7 +76,7 @@
 		}
 	}()
 	t.Cleanup(func() { f.Close(); close(stop) })
-	return d, func() *client {
+	return d, f, func() *client {
 		nc, err := net.Dial("tcp", f.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -282,6 +290,39 @@
 	}
 }
 
+// tooLong is an answer over the budget of openServer.
+func tooLong() core.Answer { return core.Answer{Verdict: core.Served, Body: make([]byte, 1<<23)} }
+
+// A response over the memory budget is answered as failed on a connection that is closing, too: one answer, then the end. The
+// connection was once closed without any, as the reply counted as given before it was.
+func TestResponseOverTheMemoryBudgetWhileClosing(t *testing.T) {
+	for name, beginClose := range map[string]func(*fakeCore, *Server, *client){
+		"malformed input": func(_ *fakeCore, _ *Server, c *client) { c.nc.Write([]byte{0xc1}) },
+		"duplicate id":    func(_ *fakeCore, _ *Server, c *client) { c.call(1, "page") },
+		"shutdown": func(_ *fakeCore, f *Server, _ *client) {
+			go f.Shutdown(clock.Now() + 5*time.Second)
+		},
+		"hot restart": func(d *fakeCore, _ *Server, _ *client) { d.leave.Store(int64(core.CloseAll)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, f, dial := openServer(t)
+			c := dial()
+			c.call(1, "page")
+			q := <-d.submitted
+			beginClose(d, f, c)
+			time.Sleep(50 * time.Millisecond) // the close has begun, and waits for the reply
+			verdict := make(chan core.Verdict, 1)
+			d.Post(func() { verdict <- q.Reply(tooLong()) })
+			if w, _, _ := c.answer(1); w != "Failed" || <-verdict != core.Failed {
+				t.Errorf("error %q", w)
+			}
+			if _, err := c.dec.DecodeSlice(); err != io.EOF {
+				t.Errorf("after the answer: %v, want the end", err)
+			}
+		})
+	}
+}
+
 // A request that was read as its connection ended, and comes to the core behind the news of the end, is not submitted: nobody
 // could withdraw it, and it would be sent on for a client that has gone.
 func TestRequestAfterTheCloseIsNotSubmitted(t *testing.T) {
