core: fail a rejected order at once where its time is over, instead of holding its answer

What callers saw: the client of an order that waited for a place as its router shut down got its answer up to 250 ms late, 50 ms after the end that the shutdown has, when the process may be gone. At the end of an order's own time it was the same.

Cause: the rejection of a replicated order is held for OrderReleaseDelay (250 ms), until its replica has released it. Requests that are open are answered ShutdownAnswerMargin (200 ms) before the end. Their deadline ends the wait only if it comes later than the rejection, and not if it is what causes it.

Evidence: TestOrderRejectedAtItsDeadlineIsAnsweredInTime, which begins a shutdown at each 50 ms of an order's life.

Why this fix works: where the request's deadline has come there is nobody to wait for. The order fails, as its replica may have it; the replica is told as before.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -62,9 +62,14 @@
 const second = time.Second
 
 func newHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessWithSettings(t, testSettings())
+}
+
+func newHarnessWithSettings(t *testing.T, settings balancer.Settings) *harness {
 	t.Helper()
 	h := &harness{t: t, now: 1e6 * second}
-	core, err := New(testSettings(), testLimits(), func() time.Duration { return h.now })
+	core, err := New(settings, testLimits(), func() time.Duration { return h.now })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -132,20 +132,25 @@
 	c.answer(r, a)
 }
 
-// finishOrder takes the answer that a request's client is about to get, and reports whether it may get it now. A
-// rejection of a replicated order is held back for a bounded time, until no other router can run the order.
-func (c *Core) finishOrder(r *request, a Answer) bool {
+// finishOrder takes the answer that a request's client is about to get, and returns the one that it may get now, if there is
+// one. A rejection of a replicated order is held back for a bounded time, until no other router can run the order. Where the
+// request's time is over, nobody is waited for: the order fails, as its replica may have it.
+func (c *Core) finishOrder(r *request, a Answer) (now Answer, ok bool) {
 	if !r.replicated || !c.extensions.orders.Finish(r.Txn, a, r.mayHaveRun) {
-		return true
+		return a, true
+	}
+	if c.iteration.now >= r.deadline {
+		c.extensions.orders.StopWaiting(r.Txn)
+		return failedAnswer, true
 	}
 	r.state, r.pendingRejection = requestRejectionPending, a
-	c.requests.add(r)
+	c.requests.add(r) // its deadline ends the wait, too
 	c.Schedule(c.iteration.now+c.limits.OrderReleaseDelay, func() {
 		if c.requests.isOpen(r) {
 			c.failPendingRejection(r)
 		}
 	})
-	return false
+	return Answer{}, false
 }
 
 // ReplicaDropped reports that no other router runs an order whose rejection is held back: the client gets it.
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -155,6 +155,51 @@
 	}
 }
 
+// An order that is rejected as its time ends is answered at once, and not only when its replica has released it: its client
+// waits no longer, or the process is about to be killed. The shutdown may begin at any moment of the order's life: while it
+// waits for an endpoint, for its lease, or for a place among the attempts that there may be.
+func TestOrderRejectedAtItsDeadlineIsAnsweredInTime(t *testing.T) {
+	const timeout, step = 2 * second, 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		orders    int
+		endpoints bool
+	}{
+		"no endpoint is listed": {1, false},
+		"no lease":              {1, true},
+		"no place":              {80, true},
+	} {
+		for begin := time.Duration(0); begin <= timeout; begin += step {
+			settings := testSettings()
+			settings.Classes[1].LatencyObjective = timeout // orders may wait for a place for long
+			h := newHarnessWithSettings(t, settings)
+			h.core.limits.ShutdownTimeout = second
+			h.withOrderFailover().holdRejections = true
+			if !c.endpoints {
+				h.core.ReplaceEndpoints(nil)
+			}
+			submitted := h.now
+			for range c.orders {
+				h.submit("order", timeout)
+			}
+			for _, a := range h.outstanding {
+				h.core.AcquireSendPermission(a) // which never comes
+			}
+			h.wait(begin)
+			h.core.BeginShutdown(h.now)
+			cut := h.now + h.core.limits.ShutdownTimeout - h.core.limits.ShutdownAnswerMargin
+			h.wait(max(min(submitted+timeout, cut)-h.now, 0) + 5*time.Millisecond)
+			if len(h.answers) != c.orders || h.core.OpenCount() != 0 {
+				t.Errorf("%s, shutdown after %v: %d answers and %d open once the time of all %d is over", name, begin,
+					len(h.answers), h.core.OpenCount(), c.orders)
+			}
+			h.wait(second)
+			if len(h.answers) != c.orders {
+				t.Errorf("%s, shutdown after %v: %d answers to %d orders", name, begin, len(h.answers), c.orders)
+			}
+		}
+	}
+}
+
 // A claimed order goes to the module only where it is granted, under the txn that it had; else it gets its known
 // answer. Without order failover it fails. A page is simply requested again.
 func TestClaimedOrder(t *testing.T) {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -234,8 +234,8 @@
 	if r.attempt != nil {
 		c.abandonAttempt(r.attempt, balancer.Cancelled)
 	}
-	if c.finishOrder(r, a) {
-		c.deliver(r, a)
+	if final, ok := c.finishOrder(r, a); ok {
+		c.deliver(r, final)
 	}
 }
 
