messaging: put the item that opens a further packet into it

What callers saw: a burst of orders was late by a retry (30 ms and more) for one message in each packet, and so was one acknowledgement in each.

Cause: packetWriter.reserve returned false for the item that no longer fitted, after it had begun the packet that was meant for it; the item was then left out.

Why this fix works: reserve only makes room, and every item is added. Packets stay within their size.

--- a/internal/cluster/messaging/messaging_test.go
+++ b/internal/cluster/messaging/messaging_test.go
@@ -138,6 +138,64 @@
 	}
 }
 
+// A burst goes out at once, in as many packets as it takes, and so do its acknowledgements: no message waits for its retry. The
+// one that opened a packet was once left out of it.
+func TestBurstGoesOutAtOnce(t *testing.T) {
+	const burst = 200
+	a, b := New(Defaults("a", 1)), New(Defaults("b", 2))
+	exchange := func(now time.Duration) { // all that is due, both ways
+		for _, packet := range a.DuePackets(now) {
+			for _, d := range b.Receive(now, packet.Data) {
+				b.Acknowledge(d, []byte("held "+string(d.Body[:8])))
+			}
+		}
+		for _, packet := range b.DuePackets(now) {
+			a.Receive(now, packet.Data)
+		}
+	}
+	send := func(now time.Duration, i int) {
+		body := append(fmt.Appendf(nil, "%08d", i), make([]byte, i%97)...)
+		if _, err := a.Send(now, "b", body, now+time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(0, 0)
+	now := time.Duration(0)
+	for ; len(a.Completions()) == 0 && now < time.Second; now += ms { // they learn of each other's process
+		exchange(now)
+	}
+	for i := range burst {
+		send(now, i)
+	}
+	exchange(now)
+	if done := a.Completions(); len(done) != burst {
+		t.Errorf("%d of %d messages are acknowledged without a retry", len(done), burst)
+	}
+}
+
+// Packets of a burst stay within their size, whatever the sizes of the messages.
+func TestBurstKeepsToPacketSize(t *testing.T) {
+	a := New(Defaults("a", 1))
+	w := &packetWriter{messenger: a, peer: &peer{name: "b", process: 2}}
+	w.begin()
+	const overhead = 200 // of names, numbers and items
+	for i := range 300 {
+		w.addMessage(item{ID: uint64(i + 1), Body: make([]byte, i*7%900)})
+	}
+	w.flush()
+	messages := 0
+	for _, p := range w.packets {
+		in, ok := New(Defaults("b", 2)).decode(p.Data)
+		if !ok || len(p.Data) > a.settings.MaxPacketBytes+overhead {
+			t.Errorf("a packet of %d bytes, read: %t", len(p.Data), ok)
+		}
+		messages += len(in.Messages)
+	}
+	if messages != 300 {
+		t.Errorf("%d of 300 messages are in the packets", messages)
+	}
+}
+
 // Whatever comes in is ignored or understood.
 func FuzzReceive(f *testing.F) {
 	a := New(Defaults("a", 1))
--- a/internal/cluster/messaging/packet.go
+++ b/internal/cluster/messaging/packet.go
@@ -51,28 +51,22 @@
 // itemOverhead is about the size of an item without its body.
 const itemOverhead = 12
 
-// reserve counts an item, and begins another packet if it no longer fits into this one. It returns false for an item
-// that is left out: the one that begins another packet. That is a fault of long standing, kept until it is mended on
-// its own: such a message goes out with its next retry, and such an acknowledgement once its message comes again.
-func (w *packetWriter) reserve(it item) bool {
-	full := w.size > 0 && w.size+len(it.Body) > w.messenger.settings.MaxPacketBytes
-	if full {
+// reserve counts an item, and begins another packet for it if it no longer fits into this one.
+func (w *packetWriter) reserve(it item) {
+	if w.size > 0 && w.size+len(it.Body) > w.messenger.settings.MaxPacketBytes {
 		w.flush()
 	}
 	w.size += len(it.Body) + itemOverhead
-	return !full
 }
 
 func (w *packetWriter) addMessage(it item) {
-	if w.reserve(it) {
-		w.packet.Messages = append(w.packet.Messages, it)
-	}
+	w.reserve(it)
+	w.packet.Messages = append(w.packet.Messages, it)
 }
 
 func (w *packetWriter) addAcknowledgement(it item) {
-	if w.reserve(it) {
-		w.packet.Acknowledgements = append(w.packet.Acknowledgements, it)
-	}
+	w.reserve(it)
+	w.packet.Acknowledgements = append(w.packet.Acknowledgements, it)
 }
 
 // flush ends the packet and begins another.
