state: bound a budget that is opened beyond those that can be shared

What callers saw: with over 512 page caches that warm up at once, as in a release of a large fleet, the cluster's bound on what all routers send a cold one did not hold for the 513th and later ones.

Cause: OpenBudget returned false for them, and a budget that is not open allows everything.

Evidence: TestBudgetsBeyondTheSharedOnesAreBounded, adapted to the old constant, finds budget 512 not open on.

Why this fix works: such a budget is open, but its shares are neither lent nor asked for. Each router spends just on those that it owns, which add up to the whole however the others hold theirs. Up to 8,192 budgets are open, more than the largest fleet has page caches; only beyond that a budget is refused, and the module's own bound for each router holds alone, as without a cluster.

Measured: in 10 s a router of four spends at most a quarter of rate and burst of each of three such budgets, and at least half of its part; TestBudgetsUnderFaults and the rest of the package pass.

--- a/internal/cluster/state/budget.go
+++ b/internal/cluster/state/budget.go
@@ -25,6 +25,7 @@
 	borrowed []lease
 	pending  []pendingRequest
 	closesAt time.Duration // 0: it stays open
+	unshared bool          // its shares are neither lent nor borrowed: there are too many budgets
 }
 
 // tokenBucket is what has been saved up on the shares held.
@@ -42,8 +43,9 @@
 	total     uint64  // spent since the process started
 }
 
-// OpenBudget opens a budget, or keeps it open, until a time (0: for good). It returns false where there is no room for
-// another one: then nothing is shared of it, and CanSpend allows everything.
+// OpenBudget opens a budget, or keeps it open, until a time (0: for good). Beyond maxSharedBudgets this router spends just
+// on the shares that it owns of it. It returns false where there is no room for another one: then CanSpend allows
+// everything.
 func (s *State) OpenBudget(now time.Duration, key string, limits BudgetLimits, until time.Duration) bool {
 	if b := s.budgets[key]; b != nil {
 		b.closesAt = until
@@ -53,7 +55,12 @@
 		return false
 	}
 	// It starts with no tokens: an earlier process may have spent all a moment ago.
-	s.budgets[key] = &budget{limits: limits, bucket: tokenBucket{refilledAt: now}, closesAt: until}
+	s.budgets[key] = &budget{
+		limits:   limits,
+		bucket:   tokenBucket{refilledAt: now},
+		closesAt: until,
+		unshared: len(s.budgets) >= maxSharedBudgets,
+	}
 	return true
 }
 
--- a/internal/cluster/state/budget_test.go
+++ b/internal/cluster/state/budget_test.go
@@ -180,3 +180,53 @@
 		t.Errorf("after their end, these are open: %+v", left)
 	}
 }
+
+// Each router of a cluster keeps within its part of a budget that it opens beyond those that can be shared, as when very many
+// endpoints warm up at once. Such a budget had no bound.
+func TestBudgetsBeyondTheSharedOnesAreBounded(t *testing.T) {
+	const routers, extra, window = 4, 3, 10 * time.Second
+	s, err := New(Defaults("r1", 1, routers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := BudgetLimits{Rate: 40, Burst: 20}
+	key := func(i int) string { return fmt.Sprintf("cold s-%d", i) }
+	s.SetPeers([]string{"r2", "r3", "r4"}, routers)
+	for i := range maxSharedBudgets + extra {
+		if !s.OpenBudget(0, key(i), limits, 0) {
+			t.Fatalf("budget %d is not open", i)
+		}
+	}
+	numbers, spent := map[string]int{}, map[int]int{}
+	for i := maxSharedBudgets; i < maxSharedBudgets+extra; i++ {
+		numbers[key(i)] = i
+	}
+	for now := time.Duration(0); now <= window; now += 10 * ms {
+		if now%s.settings.TickInterval == 0 {
+			s.Tick(now)
+		}
+		for budget, i := range numbers {
+			for s.CanSpend(now, budget) && spent[i] < 10_000 {
+				s.Spend(now, budget)
+				spent[i]++
+			}
+		}
+		for _, out := range s.OutgoingMessages() {
+			if _, beyond := numbers[out.Message.Key]; beyond && out.Message.Kind == KindLeaseRequest {
+				t.Fatalf("shares of %s are asked for", out.Message.Key)
+			}
+		}
+	}
+	part := 1.0 / routers
+	for i, n := range spent {
+		if most := part * (limits.Rate*window.Seconds() + limits.Burst); float64(n) > most+1 {
+			t.Errorf("%d spent of budget %d in %v, at most %.0f are this router's", n, i, window, most)
+		}
+		if least := part * limits.Rate * window.Seconds() / 2; float64(n) < least {
+			t.Errorf("%d spent of budget %d in %v, want at least %.0f", n, i, window, least)
+		}
+	}
+	if len(spent) != extra {
+		t.Errorf("%d of %d budgets were spent of", len(spent), extra)
+	}
+}
--- a/internal/cluster/state/lease.go
+++ b/internal/cluster/state/lease.go
@@ -73,7 +73,7 @@
 // requestLeases asks some peers, in turn, for the shares that this router needs beside those it owns. It asks for a
 // lease again once half of it is over, of the peers whose turn it then is.
 func (s *State) requestLeases(now time.Duration, key string, b *budget) {
-	if len(s.peers) == 0 || s.startedAt == 0 || s.replaced {
+	if len(s.peers) == 0 || s.startedAt == 0 || s.replaced || b.unshared {
 		return
 	}
 	secured := s.unlentShares(b, now) + activeShares(b.borrowed, now+s.settings.LeaseDuration/2)
@@ -107,7 +107,7 @@
 // process of this router, which knows of no leases, may use at once.
 func (s *State) receiveLeaseRequest(now time.Duration, request leaseRequest) {
 	b := s.budgets[request.budget]
-	if b == nil || !s.canLend(now) || len(b.lent) >= maxLeasesLent {
+	if b == nil || b.unshared || !s.canLend(now) || len(b.lent) >= maxLeasesLent {
 		return
 	}
 	if request.shares <= 0 || request.borrower.router == s.settings.Self {
--- a/internal/cluster/state/state.go
+++ b/internal/cluster/state/state.go
@@ -25,7 +25,8 @@
 // The bounds of what is remembered, whatever other routers send.
 const (
 	maxNameBytes        = 128 // of a router, budget, counter or endpoint
-	maxBudgets          = 512 // open at once
+	maxSharedBudgets    = 512 // open at once whose shares are lent
+	maxBudgets          = 16 * maxSharedBudgets
 	maxCounters         = 1024
 	maxTrackedEndpoints = 512 // with health evidence
 	maxExtraRouters     = 64  // names beyond the cluster size that one counter or endpoint remembers
