upstream: wait in TestDialFails until no dial is open before counting connections

TestDialFails was red once beside six busy processes (ENETDOWN: 1 connection counted, and there are none), and in 1 of 1,600 runs (EHOSTUNREACH). The question was whether a connection was still being given up then, or counted for good.

It was the first. The attempt "too late" is ended by whichever dial fails first, of two that are open; the test looked 1 ms after that, when the second may still be open, and rightly counted.

The check was wrong, and not the router.

The bound on the number of dials is unchanged.

--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -46,6 +46,23 @@
 	return dials
 }
 
+// settledConnCount returns how many connections are counted once no dial is open any more, or at a deadline: a dial whose
+// attempt was given up ends some time after it.
+func (h *harness) settledConnCount(deadline <-chan time.Time) (count int) {
+	for {
+		h.do(func() { count = h.client.connCount })
+		select {
+		case <-deadline:
+			return count
+		default:
+		}
+		if count == 0 {
+			return 0
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // A connection that does not come up ends the attempt that waits for it, once, as never run; the endpoint is blamed for
 // that only where it may be the cause. In each state of the request, and without a second dial for it.
 func TestDialFails(t *testing.T) {
@@ -68,12 +85,9 @@
 				t.Fatalf("%v: an attempt does not end", errno)
 			}
 		}
-		time.Sleep(time.Millisecond)
-		h.do(func() {
-			if n := h.client.connCount; n != 0 {
-				t.Errorf("%v: %d connections are counted, and there are none", errno, n)
-			}
-		})
+		if n := h.settledConnCount(deadline); n != 0 {
+			t.Errorf("%v: %d connections stay counted, and there are none", errno, n)
+		}
 		if n := dials.Load(); n > 3 {
 			t.Errorf("%v: %d dials for three attempts", errno, n)
 		}
