netio: evict no connection whose peer has yet to take an answer

What callers saw: in a crowd that fills the descriptors, a client on a slow link that had been sent a long answer lost the rest of it, when its connection was closed for a new one and it sent its next request just then.

Cause: a connection counts as idle for an eviction once the system has taken all that was written. Eviction closes it at once, without the linger that other closes have; what comes after that resets the connection, and what the system still holds for the peer goes with it.

Why this fix works: before a connection is evicted, also one that lingers, the system is asked what the peer has yet to take (SIOCOUTQ). If it is anything, and was written within the write time-out, another connection is asked. A peer that takes nothing keeps its place for the write time-out at most, as before its last answer was handed to the system.

--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -5,6 +5,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"hillknot/internal/clock"
 )
 
 // The ways in which a connection is closed from our side, and what follows from its end.
@@ -117,6 +119,14 @@
 	return true
 }
 
+// hasOutputUnderWay says whether the peer has yet to take some of what was written within the write time-out. To close
+// the connection could lose it: input that crosses the close resets the connection, and what the system still holds goes
+// with it.
+func (c *Conn) hasOutputUnderWay() bool {
+	sinceWritten := clock.Now() - time.Duration(c.lastActive.Load())
+	return sinceWritten < c.limits.WriteTimeout && c.writeProgress().queued > 0
+}
+
 // isEnding says whether the connection is being closed from our side.
 func (c *Conn) isEnding() bool {
 	c.mu.Lock()
--- a/internal/netio/evict.go
+++ b/internal/netio/evict.go
@@ -127,7 +127,7 @@
 
 const (
 	evictionNone  evictionResult = iota // all connections have pending replies, or are of a higher rank
-	evictionLater                       // those that could be evicted have just sent something
+	evictionLater                       // those that could be evicted have just sent something, or take an answer
 	evictionDone                        // there is a place, or is about to be
 )
 
@@ -145,8 +145,8 @@
 			return evictionLater
 		case c == nil:
 			return evictionNone
-		case rank != rankEnding && !c.shutIfIdle(rank.partial()):
-			busy = append(busy, c) // something has come, and is about to be read
+		case c.hasOutputUnderWay() || rank != rankEnding && !c.shutIfIdle(rank.partial()):
+			busy = append(busy, c) // the peer takes an answer, or something has come, and is about to be read
 			continue
 		}
 		if !c.evicted.Swap(true) { // else it has closed by itself, or another call was quicker
--- a/internal/netio/evict_test.go
+++ b/internal/netio/evict_test.go
@@ -1,8 +1,13 @@
 package netio
 
 import (
+	"io"
+	"net"
+	"strings"
 	"testing"
 	"time"
+
+	"hillknot/internal/clock"
 )
 
 // Peers that connect and send nothing, or stay after a reply, make room for new ones; not those with a pending
@@ -70,3 +75,44 @@
 		t.Errorf("the one that was writing: %v", err)
 	}
 }
+
+// A connection whose peer has yet to take an answer gives way to no other: a close would lose the answer if the peer sends
+// something just then. It does give way once the peer has taken nothing for the write time-out.
+func TestAnswerUnderWayIsNotLostToEviction(t *testing.T) {
+	limits := lingering()
+	limits.WriteTimeout = time.Second
+	answer := strings.Repeat("x", 600_000) // more than the peer's side takes before it reads
+	made := make(chan *Conn, 10)
+	s := serveWithBudget(t, 1, limits, NewBudget(1<<25), func(c *Conn) Handler {
+		made <- c
+		return lines{echo{c}}
+	})
+	slow := dial(t, s.Addr().String())
+	if err := slow.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	c := <-made
+	write(t, slow, "hi\n")
+	if _, err := io.ReadFull(slow, make([]byte, 3)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send([]byte(answer)); err != nil {
+		t.Fatal(err)
+	}
+	for taken := false; !taken; _, taken = c.idleFor(clock.Now()) { // until the system has taken it
+		time.Sleep(time.Millisecond)
+	}
+	dial(t, s.Addr().String())        // it needs a place
+	time.Sleep(50 * time.Millisecond) // and would have got one
+	write(t, slow, "hi\n")
+	time.Sleep(50 * time.Millisecond) // what follows from that reaches the peer
+	got := make([]byte, len(answer))
+	if n, err := io.ReadFull(slow, got); err != nil {
+		t.Fatalf("after %d of %d bytes: %v", n, len(got), err)
+	}
+	if err := c.Send([]byte(answer)); err != nil { // which is not read
+		t.Fatal(err)
+	}
+	time.Sleep(limits.WriteTimeout + 100*time.Millisecond)
+	exchange(t, s.Addr().String())
+}
