soak: play series of signals, hung shutdowns, a crowd and clients of four kinds, and judge slow start

The soak test sent SIGTERM once, waited for the end however long it took, and had one kind of client.

Two faults of the harness, shown by a trace of each connection (/proc/net/tcp, and the router's log at debug): a request that was sent once its connection had ended was judged as unanswered, and a client whose write failed closed its connection with answers unread. Such a request now counts as one that crossed the end, by the rule that there is for it, and the client reads what has come.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 measure-fleet: build
 	bin/hillknot-loadtest scale
 
-# Two dozen router processes under overlapping faults, 20 seeds, in about six minutes; docs/incidents.
+# Two dozen router processes under overlapping faults, 50 seeds, in about a quarter of an hour; docs/incidents. Nothing else should
+# run at the same time. CI plays two short seeds with fewer routers (TestSoak).
 soak: build
 	bin/hillknot-loadtest soak
 
--- a/cmd/hillknot-loadtest/single.go
+++ b/cmd/hillknot-loadtest/single.go
@@ -54,7 +54,7 @@
 // soakCommand runs routers through faults that overlap.
 func soakCommand() *cobra.Command {
 	var settings loadtest.SoakSettings
-	first, count := uint64(1), 20
+	first, count := uint64(1), 50
 	c := &cobra.Command{
 		Use: "soak", Short: "Run router processes through overlapping faults, judged by invariants", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/loadtest/fleet.go
+++ b/loadtest/fleet.go
@@ -32,6 +32,7 @@
 	UnlistedCaches int  // page caches that are not on the list yet
 	KnownRouters   int  // how many routers each router takes the location to have, itself included
 	OverloadFactor int  // a page cache that warms up may be sent this multiple of its capacity
+	Sockets        int  // descriptors that a router may hold; 0: the default
 
 	Answer   func(cache int, request fakes.Request) fakes.Reply // nil: Backend answers
 	Operator func(router int, ip string) (string, error)        // the text of a router's operator's file; nil: none
--- a/loadtest/routerconfig.go
+++ b/loadtest/routerconfig.go
@@ -12,8 +12,12 @@
 	classOrder = "new-arrange" // not idempotent: it may run once at most
 )
 
-// slowStart is how long a page cache warms up after its start.
-const slowStart = 18 * time.Second
+// How a page cache warms up after its start.
+const (
+	warmUpFrom = 0.21             // of its capacity
+	slowStart  = 18 * time.Second // until it has all of it
+	fallWindow = 2 * time.Second  // overloaded for so long, it falls
+)
 
 // routerConfig is the configuration file of a router.
 type routerConfig struct {
@@ -21,9 +25,15 @@
 	Listen    string         `json:"listen"`
 	Discovery string         `json:"journal"`
 	Known     knownEvents    `json:"known"`
+	Limits    routerLimits   `json:"limits"`
 	Settings  routerSettings `json:"settings"`
 }
 
+// routerLimits are the limits of a router's machine; what is 0 has its default.
+type routerLimits struct {
+	Sockets int `json:"sockets,omitempty"` // descriptors
+}
+
 // knownEvents are the events that a router has at its start.
 type knownEvents struct {
 	Position int          `json:"pos"`
@@ -90,13 +100,14 @@
 		Known: knownEvents{Position: 1, Events: []knownEvent{
 			{Position: 1, Endpoints: endpointList{Reset: true, Endpoints: endpoints}},
 		}},
+		Limits: routerLimits{Sockets: f.options.Sockets},
 		Settings: routerSettings{
 			Locality: zoneEdge,
 			Zones:    []string{zoneHub, zoneEdge},
 			Machines: []string{machineSmall, machineOrigin},
 			Allowed: routerAllowed{Cancel: true, ConnectTimeout: micros(400 * time.Millisecond), Keepalive: micros(30 * second),
 				MaxAttempts: 6, RetryAfter: f.options.RetryAfter, MaxRetryAfter: micros(500 * time.Millisecond)},
-			Invariants: routerInvariants{WarmUpFrom: 0.21, SlowStart: micros(slowStart), Fall: micros(2 * second),
+			Invariants: routerInvariants{WarmUpFrom: warmUpFrom, SlowStart: micros(slowStart), Fall: micros(fallWindow),
 				OverloadFactor: f.options.OverloadFactor},
 			Classes: []routerClass{
 				{classScore, "safe", micros(400 * time.Millisecond), micros(5 * second), 2},
--- a/loadtest/soak.go
+++ b/loadtest/soak.go
@@ -27,6 +27,8 @@
 	soakConcurrency = 3                      // faults at a time
 	soakSettleStart = 500 * time.Millisecond // after the start, for all routers to be ready
 	soakSettleEnd   = time.Second            // after the last fault, before clients stop
+
+	soakOverloadFactor = 4 // of a page cache that warms up
 )
 
 // Soak runs each seed, and writes which invariants were violated. The error says that some were, or that a seed could not be
@@ -44,6 +46,9 @@
 		for _, violation := range violations[:min(len(violations), soakMaxPrinted)] {
 			_, _ = fmt.Fprintf(out, "  %s\n", violation)
 		}
+		if len(violations) > 0 {
+			s.printFaults(out)
+		}
 	}
 	if total > 0 {
 		return fmt.Errorf("%d invariants are broken", total)
@@ -60,7 +65,7 @@
 	soakCaches []*soakCache // the last one is the origin
 
 	mu            sync.Mutex
-	faults        []string         // what was done, in order
+	faults        []injectedFault  // in the order of their ends
 	processErrors []string         // routers that ended, or did not start, as they should
 	claimed       map[*Router]bool // routers that a fault has for itself
 	draining      map[*soakCache]bool
@@ -80,7 +85,7 @@
 	}
 	var err error
 	s.Fleet, err = StartFleet(settings.Program, FleetOptions{Routers: settings.Routers, RetryAfter: true, Caches: settings.Caches,
-		KnownRouters: settings.Routers, OverloadFactor: 4,
+		KnownRouters: settings.Routers, OverloadFactor: soakOverloadFactor, Sockets: soakSockets(seed),
 		Address: func(cache int) string { return s.soakCaches[cache].Addr() },
 		Answer:  func(int, fakes.Request) fakes.Reply { return fakes.Reply{} }})
 	if err != nil {
@@ -98,6 +103,9 @@
 	var clients, faults sync.WaitGroup
 	for i, r := range s.Routers {
 		clients.Go(func() { newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i)).run(stop) })
+		if hasCrowd(seed) {
+			clients.Go(func() { crowd(r.ListenAddress, stop) })
+		}
 	}
 	end := s.start.Add(s.settings.Length)
 	for i := range soakConcurrency {
@@ -109,6 +117,14 @@
 	clients.Wait()
 }
 
+// soakSockets is how many descriptors a router has in the run of a seed; 0: the default.
+func soakSockets(seed uint64) int {
+	if hasCrowd(seed) {
+		return soakCrowdSockets
+	}
+	return 0
+}
+
 // summary says how much happened.
 func (s *soakRun) summary() string {
 	h := s.history
@@ -131,12 +147,20 @@
 		rejected, failed, len(h.attempts), len(s.faults), countKinds(s.faults))
 }
 
+// printFaults prints what was done, and when, since the start of the seed.
+func (s *soakRun) printFaults(out io.Writer) {
+	for _, fault := range s.faults {
+		_, _ = fmt.Fprintf(out, "    %6.3f to %6.3f: %s\n", fault.begun.Sub(s.start).Seconds(), fault.ended.Sub(s.start).Seconds(),
+			fault.what)
+	}
+}
+
 // countKinds counts faults by their first word.
-func countKinds(faults []string) string {
+func countKinds(faults []injectedFault) string {
 	counts := map[string]int{}
 	var order []string
 	for _, fault := range faults {
-		kind, _, _ := strings.Cut(fault, " ")
+		kind, _, _ := strings.Cut(fault.what, " ")
 		if counts[kind] == 0 {
 			order = append(order, kind)
 		}
--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -61,22 +61,27 @@
 	}
 }
 
-// useConn sends requests on a connection until it ends, stop is closed, or there were enough.
+// useConn uses a connection until it ends, stop is closed, or there were enough requests.
 func (c *soakClient) useConn(conn net.Conn, stop <-chan struct{}) {
+	usage := c.drawUsage()
 	s := &soakConn{conn: conn, client: c, inFlight: map[uint64]*soakRequest{}, ended: make(chan struct{})}
+	if usage == usageSlowReader {
+		s.conn, s.readsSlowly = slowReader{conn}, true
+	}
 	go s.read()
 	defer s.close()
+	s.use(usage, stop)
+}
+
+// sendSteadily sends one request after the other, with pauses.
+func (s *soakConn) sendSteadily(stop <-chan struct{}) {
+	random := s.client.random
 	for id := uint64(1); id <= soakConnRequests; id++ {
-		select {
-		case <-stop:
-			s.settle()
-			return
-		case <-s.ended:
-			return
-		case <-time.After(soakPause/2 + time.Duration(c.random.Int64N(int64(soakPause)))):
+		if !s.wait(soakPause/2+time.Duration(random.Int64N(int64(soakPause))), stop) {
+			break
 		}
 		request := s.send(id)
-		if action := clientAction(c.random.IntN(soakMisbehaveEvery)); s.misbehave(action, id, request) {
+		if action := clientAction(random.IntN(soakMisbehaveEvery)); s.misbehave(action, id, request) {
 			return
 		}
 	}
@@ -88,7 +93,10 @@
 	conn     net.Conn
 	client   *soakClient
 	inFlight map[uint64]*soakRequest // by message id; guarded by the history's lock
+	over     bool                    // the connection has ended; guarded by the history's lock
 	ended    chan struct{}           // closed when all answers are read
+
+	readsSlowly bool
 }
 
 // close closes the connection, and waits for the end of its reader.
@@ -131,14 +139,15 @@
 		message.Method = classScore
 	}
 	request := &soakRequest{txn: message.Txn, router: c.address, class: message.Method,
-		timeout: time.Duration(message.TimeoutMillis) * time.Millisecond, sent: time.Now()}
+		timeout: time.Duration(message.TimeoutMillis) * time.Millisecond, sent: time.Now(), readSlowly: s.readsSlowly}
 	c.history.update(func() {
 		c.history.requests[request.txn] = request
 		s.inFlight[id] = request
+		if s.over { // it crosses the end, and nobody reads it
+			request.disconnected = request.sent
+		}
 	})
-	if _, err := s.conn.Write(rpc.AppendRequest(nil, id, message)); err != nil {
-		_ = s.conn.Close() // the reader ends, and notes it
-	}
+	_, _ = s.conn.Write(rpc.AppendRequest(nil, id, message)) // the reader reads what has come, and notes the end
 	return request
 }
 
@@ -193,6 +202,7 @@
 		})
 	})
 	s.client.history.update(func() {
+		s.over = true
 		for _, request := range s.inFlight {
 			if len(request.answers) == 0 {
 				request.disconnected = time.Now()
--- /dev/null
+++ b/loadtest/soakcrowd.go
@@ -0,0 +1,62 @@
+package loadtest
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	soakCrowdEvery     = 3   // of so many seeds, one each has a crowd
+	soakCrowdSockets   = 256 // descriptors of a router in a crowd
+	soakCrowdClients   = 160 // idle clients of a router, more than it has places for
+	soakCrowdPause     = 100 * time.Millisecond
+	soakCrowdReadLimit = 4 << 10 // bytes that an idle client reads at a time
+)
+
+// hasCrowd reports whether idle clients fill the descriptors of the routers in the run of a seed.
+func hasCrowd(seed uint64) bool { return seed%soakCrowdEvery == 0 }
+
+// crowd has idle clients hold connections to a router until stop is closed. One whose connection ends calls again.
+func crowd(address string, stop <-chan struct{}) {
+	var clients sync.WaitGroup
+	for range soakCrowdClients {
+		clients.Go(func() { idleClient(address, stop) })
+	}
+	clients.Wait()
+}
+
+// idleClient holds one connection after the other, and sends nothing.
+func idleClient(address string, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(soakCrowdPause):
+		}
+		conn, err := net.DialTimeout("tcp", address, soakDialTimeout)
+		if err != nil {
+			continue
+		}
+		waitForEnd(conn, stop)
+	}
+}
+
+// waitForEnd waits until a connection ends or stop is closed, and closes it.
+func waitForEnd(conn net.Conn, stop <-chan struct{}) {
+	defer conn.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		buffer := make([]byte, soakCrowdReadLimit)
+		for {
+			if _, err := conn.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-ended:
+	case <-stop:
+	}
+}
--- a/loadtest/soakfaults.go
+++ b/loadtest/soakfaults.go
@@ -7,21 +7,26 @@
 	"time"
 )
 
-// soakExitTimeout is how long a router has to end after SIGTERM: the longest deadline, taken as 3 s, and 0.7 s.
-const soakExitTimeout = 3700 * time.Millisecond
+// injectedFault is a fault that was injected.
+type injectedFault struct {
+	begun, ended time.Time
+	what         string // its first word is the kind
+}
 
 // soakFault injects one fault and waits for its end. It returns what it did, of which the first word is the kind; empty: it
 // did nothing.
 type soakFault func(*rand.Rand) string
 
-// injectFaults injects one fault after the other until a time. Those that stand twice are drawn twice as often.
+// injectFaults injects one fault after the other until a time. Those that stand more often are drawn more often.
 func (s *soakRun) injectFaults(random *rand.Rand, until time.Time) {
-	faults := []soakFault{s.pauseRouter, s.pauseRouter, s.terminateRouter, s.killRouter, s.reloadRouter, s.misbehave, s.misbehave,
-		s.resetCache, s.drainCache, s.drainCache, s.purgeObject, s.purgeObject, s.pauseDiscovery, s.breakDiscovery}
+	faults := []soakFault{s.pauseRouter, s.pauseRouter, s.terminateRouter, s.terminateRouter, s.terminateRouter, s.killRouter,
+		s.reloadRouter, s.misbehave, s.misbehave, s.resetCache, s.drainCache, s.drainCache, s.purgeObject, s.purgeObject,
+		s.pauseDiscovery, s.breakDiscovery}
 	for time.Now().Before(until) {
+		begun := time.Now()
 		if what := faults[random.IntN(len(faults))](random); what != "" {
 			s.mu.Lock()
-			s.faults = append(s.faults, what)
+			s.faults = append(s.faults, injectedFault{begun, time.Now(), what})
 			s.mu.Unlock()
 		}
 		time.Sleep(time.Duration(20+random.IntN(300)) * time.Millisecond)
@@ -57,49 +62,12 @@
 func (s *soakRun) pauseRouter(random *rand.Rand) string {
 	return s.withRouter(random, func(r *Router) string {
 		length := time.Duration(50+random.IntN(1150)) * time.Millisecond
-		s.stopProcess(r, length, func() {})
-		return fmt.Sprintf("stop %v", length)
-	})
-}
-
-// stopProcess stops a router's process for a time, and calls happen right after the stop.
-func (s *soakRun) stopProcess(r *Router, length time.Duration, happen func()) {
-	address := r.ListenAddress
-	s.history.update(func() { s.history.stops[address] = append(s.history.stops[address], interval{start: time.Now()}) })
-	r.Signal(syscall.SIGSTOP)
-	happen()
-	time.Sleep(length)
-	s.history.update(func() { // before the process continues, so that nothing counts as late that is not
-		stops := s.history.stops[address]
-		stops[len(stops)-1].end = time.Now()
-	})
-	r.Signal(syscall.SIGCONT)
-}
-
-// terminateRouter restarts a router on SIGTERM.
-func (s *soakRun) terminateRouter(random *rand.Rand) string {
-	return s.withRouter(random, func(r *Router) string {
-		start := time.Now()
-		how := "term"
-		switch random.IntN(4) {
-		case 0:
-			r.Signal(syscall.SIGTERM)
-			r.Signal(syscall.SIGHUP)
-		case 1: // while the process is stopped
-			how = "stop+term"
-			length := time.Duration(100+random.IntN(1400)) * time.Millisecond
-			s.stopProcess(r, length, func() { start = time.Now(); r.Signal(syscall.SIGTERM) })
-		default:
-			r.Signal(syscall.SIGTERM)
-		}
-		if err := r.wait(); err != nil {
-			s.reportProcess("%s: exit after SIGTERM: %v", r.ListenAddress, err)
-		}
-		if took := time.Since(start); took > soakExitTimeout {
-			s.reportProcess("%s: took %v to end after SIGTERM", r.ListenAddress, took)
-		}
-		s.startProcess(r)
-		return how
+		s.noteStop(r)
+		r.Signal(syscall.SIGSTOP)
+		time.Sleep(length)
+		s.noteResume(r)
+		r.Signal(syscall.SIGCONT)
+		return fmt.Sprintf("stop %s for %v", r.ListenAddress, length)
 	})
 }
 
@@ -110,7 +78,7 @@
 		s.history.update(func() { s.history.kills[address] = append(s.history.kills[address], time.Now()) })
 		r.Kill()
 		s.startProcess(r)
-		return "kill"
+		return "kill " + address
 	})
 }
 
@@ -127,10 +95,11 @@
 // reloadRouter has a router reload its configuration, a few times in a row.
 func (s *soakRun) reloadRouter(random *rand.Rand) string {
 	return s.withRouter(random, func(r *Router) string {
-		for range 1 + random.IntN(3) {
+		for range 1 + random.IntN(6) {
 			r.Signal(syscall.SIGHUP)
+			time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 		}
-		return "reload"
+		return "reload " + r.ListenAddress
 	})
 }
 
@@ -188,6 +157,9 @@
 	e := newEndpoint(cache.name, cache.Addr(), stateReady)
 	e.StartedAtMillis = time.Now().UnixMilli()
 	s.publishEndpoints(e)
+	s.history.update(func() {
+		s.history.returns[cache.name] = append(s.history.returns[cache.name], time.UnixMilli(e.StartedAtMillis))
+	})
 }
 
 // purgeObject publishes a purge.
--- a/loadtest/soakhistory.go
+++ b/loadtest/soakhistory.go
@@ -10,7 +10,8 @@
 	mu       sync.Mutex
 	requests map[uint64]*soakRequest // by txn
 	attempts []*soakAttempt
-	drains   map[string][]interval // by endpoint: from the event that it drains to the one that it is back
+	drains   map[string][]interval  // by endpoint: from the event that it drains to the one that it is back
+	returns  map[string][]time.Time // by endpoint: when it started anew, which is published at once
 	purges   map[string][]time.Time
 	outages  []interval // of the discovery service, in the order of their starts
 
@@ -37,6 +38,7 @@
 	abandoned    time.Time // the client cancelled it or closed its connection; zero: it did not
 	disconnected time.Time // the router ended the connection; zero: it did not
 	answers      []soakAnswer
+	readSlowly   bool // the client takes its time to read answers
 }
 
 // soakAnswer is an answer to a request.
@@ -60,8 +62,15 @@
 }
 
 func newSoakHistory() *soakHistory {
-	return &soakHistory{requests: map[uint64]*soakRequest{}, drains: map[string][]interval{}, purges: map[string][]time.Time{},
-		stops: map[string][]interval{}, kills: map[string][]time.Time{}, starts: map[string][]time.Time{}}
+	return &soakHistory{
+		requests: map[uint64]*soakRequest{},
+		drains:   map[string][]interval{},
+		returns:  map[string][]time.Time{},
+		purges:   map[string][]time.Time{},
+		stops:    map[string][]interval{},
+		kills:    map[string][]time.Time{},
+		starts:   map[string][]time.Time{},
+	}
 }
 
 // update changes the history.
--- a/loadtest/soakjudge.go
+++ b/loadtest/soakjudge.go
@@ -19,6 +19,7 @@
 	soakStampPrecision = 2 * time.Millisecond    // stamps are truncated to milliseconds
 	soakPurgeDone      = 6 * time.Second         // page caches have dropped what was purged
 	soakIdleCloseRace  = 50 * time.Millisecond   // a request may cross the end of an idle connection
+	soakSlowReadLate   = 6 * time.Second         // a client that reads slowly has read what was written within this
 )
 
 // reportViolation reports that an invariant was violated at a time.
@@ -46,6 +47,7 @@
 			judgeOrder(ofRequest, report)
 		}
 	}
+	h.judgeSlowStart(report)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append(violations, s.processErrors...)
@@ -54,6 +56,9 @@
 // judgeAnswer checks that a request has one answer, in time.
 func (h *soakHistory) judgeAnswer(r *soakRequest, report reportViolation) {
 	end := r.sent.Add(r.timeout + soakAnswerLate + soakReadLate)
+	if r.readSlowly {
+		end = end.Add(soakSlowReadLate)
+	}
 	switch {
 	case len(r.answers) > 1:
 		report(r.answers[1].received, "%016x: %d answers", r.txn, len(r.answers))
@@ -67,10 +72,10 @@
 	case !r.disconnected.IsZero() && r.disconnected.Sub(r.sent) < soakIdleCloseRace+soakReadLate:
 		// It crossed the end of the connection.
 	case !r.disconnected.IsZero():
-		report(r.disconnected, "%016x (%s): the connection ended %v after it was sent, with no answer", r.txn, r.class,
-			r.disconnected.Sub(r.sent))
+		report(r.disconnected, "%016x (%s) at %s: the connection ended %v after it was sent, with no answer", r.txn, r.class,
+			r.router, r.disconnected.Sub(r.sent))
 	default:
-		report(end, "%016x (%s): no answer", r.txn, r.class)
+		report(end, "%016x (%s) at %s: no answer", r.txn, r.class, r.router)
 	}
 }
 
--- a/loadtest/soaksession.go
+++ b/loadtest/soaksession.go
@@ -67,17 +67,17 @@
 	})
 }
 
-// finish ends the attempt that is in flight under an id, and reports whether there was one.
-func (s *soakSession) finish(id string) bool {
+// finish ends the attempt that is in flight under an id, and returns it; nil: there is none.
+func (s *soakSession) finish(id string) *soakAttempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	attempt := s.inFlight[id]
 	if attempt == nil {
-		return false
+		return nil
 	}
 	delete(s.inFlight, id)
 	s.cache.history.update(func() { attempt.ended = time.Now() })
-	return true
+	return attempt
 }
 
 // receive records a request, and answers it as the page cache's mode says.
@@ -119,12 +119,28 @@
 	return attempt
 }
 
+// Some objects are large.
+const (
+	soakLargeSuffix = "0" // of the names of large objects, one in sixteen
+	soakLargeBytes  = 60_000
+)
+
+// soakBody returns the body of an object.
+func soakBody(object string) string {
+	if strings.HasSuffix(object, soakLargeSuffix) {
+		return strings.Repeat("x", soakLargeBytes)
+	}
+	return "hello"
+}
+
 // answer answers a request, unless it is over.
 func (s *soakSession) answer(id string, mode cacheMode) {
-	if !s.finish(id) {
+	attempt := s.finish(id)
+	if attempt == nil {
 		return
 	}
-	text := fmt.Sprintf("%s DONE res=cached,version=v1,stamp=%d 5\r\nhello\r\n", id, time.Now().UnixMilli())
+	body := soakBody(attempt.object)
+	text := fmt.Sprintf("%s DONE res=cached,version=v1,stamp=%d %d\r\n%s\r\n", id, time.Now().UnixMilli(), len(body), body)
 	switch mode {
 	case modeErrors:
 		text = id + " BROKE - 0\r\n\r\n"
--- /dev/null
+++ b/loadtest/soakshutdown.go
@@ -0,0 +1,120 @@
+package loadtest
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// soakExitTimeout is how long a router has to end after SIGTERM before the platform may kill it: the longest deadline, taken as
+// 3 s, and 0.7 s.
+const soakExitTimeout = 3700 * time.Millisecond
+
+// signalStep is one signal of a series, and the time until the next.
+type signalStep struct {
+	signal syscall.Signal
+	wait   time.Duration
+}
+
+// signalSeries is a series of signals that contains SIGTERM.
+type signalSeries struct {
+	name  string
+	steps []signalStep
+}
+
+// soakSignalGap is the time between two signals of a series that follow each other at once.
+const soakSignalGap = 10 * time.Millisecond
+
+// atOnce returns the steps of signals that follow each other at once.
+func atOnce(signals ...syscall.Signal) (steps []signalStep) {
+	for _, signal := range signals {
+		steps = append(steps, signalStep{signal, soakSignalGap})
+	}
+	return steps
+}
+
+// drawSignalSeries draws a series of signals after which a router ends.
+func drawSignalSeries(random *rand.Rand) signalSeries {
+	const hup, term, stop, resume = syscall.SIGHUP, syscall.SIGTERM, syscall.SIGSTOP, syscall.SIGCONT
+	pause := time.Duration(100+random.IntN(1400)) * time.Millisecond
+	series := []signalSeries{
+		{"term", atOnce(term)},
+		{"term+hup", atOnce(term, hup, hup)},
+		{"hups+term", atOnce(hup, hup, hup, hup, hup, hup, hup, term)},
+		{"terms", atOnce(term, term, hup, term)},
+		{"stop+term", append(atOnce(stop), signalStep{term, pause}, signalStep{resume, 0})},
+		{"hup+stop+term", append(atOnce(hup, stop, hup), signalStep{term, pause}, signalStep{resume, 0})},
+		{"term+stop", append(atOnce(term), signalStep{stop, pause}, signalStep{resume, soakSignalGap}, signalStep{term, 0})},
+	}
+	return series[random.IntN(len(series))]
+}
+
+// send sends the signals of a series to a router, and returns when SIGTERM was sent first.
+func (s *soakRun) send(r *Router, series signalSeries) (terminated time.Time) {
+	for _, step := range series.steps {
+		if step.signal == syscall.SIGTERM && terminated.IsZero() {
+			terminated = time.Now()
+		}
+		switch step.signal {
+		case syscall.SIGSTOP:
+			s.noteStop(r)
+		case syscall.SIGCONT:
+			s.noteResume(r)
+		}
+		r.Signal(step.signal)
+		time.Sleep(step.wait)
+	}
+	return terminated
+}
+
+// terminateRouter restarts a router on SIGTERM, now and then twice in a row.
+func (s *soakRun) terminateRouter(random *rand.Rand) string {
+	return s.withRouter(random, func(r *Router) string {
+		if random.IntN(3) == 0 { // page caches hang through the whole shutdown
+			for _, cache := range s.soakCaches[:1+random.IntN(len(s.soakCaches))] {
+				cache.misbehave(modeHang, soakExitTimeout)
+			}
+		}
+		series := drawSignalSeries(random)
+		s.awaitExit(r, s.send(r, series))
+		s.startProcess(r)
+		if random.IntN(4) == 0 { // the next restart comes as soon as the process is back
+			time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			s.awaitExit(r, s.send(r, signalSeries{steps: atOnce(syscall.SIGTERM)}))
+			s.startProcess(r)
+			return series.name + "+again " + r.ListenAddress
+		}
+		return series.name + " " + r.ListenAddress
+	})
+}
+
+// awaitExit waits until a router has ended after SIGTERM, and kills it as the platform may. What that loses is not excused.
+func (s *soakRun) awaitExit(r *Router, terminated time.Time) {
+	exited := make(chan error, 1)
+	go func() { exited <- r.wait() }()
+	select {
+	case err := <-exited:
+		if err != nil {
+			s.reportProcess("%s: exit after SIGTERM: %v", r.ListenAddress, err)
+		}
+	case <-time.After(soakExitTimeout - time.Since(terminated)):
+		r.Signal(syscall.SIGKILL)
+		s.reportProcess("%s: killed %v after SIGTERM", r.ListenAddress, time.Since(terminated))
+		<-exited
+	}
+}
+
+// noteStop records that a router's process is about to be stopped.
+func (s *soakRun) noteStop(r *Router) {
+	address := r.ListenAddress
+	s.history.update(func() { s.history.stops[address] = append(s.history.stops[address], interval{start: time.Now()}) })
+}
+
+// noteResume records that a stopped process is about to continue: before it does, so that nothing counts as late that is not.
+func (s *soakRun) noteResume(r *Router) {
+	address := r.ListenAddress
+	s.history.update(func() {
+		stops := s.history.stops[address]
+		stops[len(stops)-1].end = time.Now()
+	})
+}
--- /dev/null
+++ b/loadtest/soakusage.go
@@ -0,0 +1,90 @@
+package loadtest
+
+import (
+	"net"
+	"time"
+)
+
+// connUsage is how a client uses a connection.
+type connUsage uint8
+
+const (
+	usageSteady     connUsage = iota // one request after the other, with pauses
+	usageResting                     // it rests until the router ends the connection, and sends once more about then
+	usagePipelining                  // many requests at once
+	usageSlowReader                  // the same, and it takes its time to read the answers
+	usageCount
+)
+
+const (
+	soakPipelineDepth  = 8
+	soakPipelinePause  = 400 * time.Millisecond
+	soakRestLength     = 5 * time.Second        // the router ends idle connections after it
+	soakRestSpread     = 100 * time.Millisecond // around it
+	soakSlowReadBytes  = 8 << 10                // read at a time by a client that reads slowly
+	soakSlowReadPause  = 20 * time.Millisecond
+	soakSteadyOfUsages = 2 // of so many connections, one is used steadily, and the others in any way
+)
+
+func (c *soakClient) drawUsage() connUsage {
+	if c.random.IntN(soakSteadyOfUsages) == 0 {
+		return usageSteady
+	}
+	return connUsage(c.random.IntN(int(usageCount)))
+}
+
+// use sends requests on the connection until it ends, stop is closed, or there were enough.
+func (s *soakConn) use(usage connUsage, stop <-chan struct{}) {
+	switch usage {
+	case usageResting:
+		s.rest(stop)
+	case usagePipelining, usageSlowReader:
+		s.pipeline(stop)
+	default:
+		s.sendSteadily(stop)
+	}
+}
+
+// wait waits for a time, and returns false if the connection has ended or stop is closed.
+func (s *soakConn) wait(length time.Duration, stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return false
+	case <-s.ended:
+		return false
+	case <-time.After(length):
+		return true
+	}
+}
+
+// rest sends a request, and another one about when the router ends the connection.
+func (s *soakConn) rest(stop <-chan struct{}) {
+	s.send(1)
+	spread := time.Duration(s.client.random.Int64N(int64(2 * soakRestSpread)))
+	if s.wait(soakRestLength-soakRestSpread+spread, stop) {
+		s.send(2)
+	}
+	s.settle()
+}
+
+// pipeline sends many requests at once, and again after a pause.
+func (s *soakConn) pipeline(stop <-chan struct{}) {
+	for first := uint64(1); first <= soakConnRequests; first += soakPipelineDepth {
+		for id := first; id < first+soakPipelineDepth; id++ {
+			s.send(id)
+		}
+		if !s.wait(soakPipelinePause, stop) {
+			break
+		}
+	}
+	s.settle()
+}
+
+// slowReader is a connection whose bytes are read slowly.
+type slowReader struct{ net.Conn }
+
+// Read implements io.Reader.
+func (r slowReader) Read(buffer []byte) (int, error) {
+	time.Sleep(soakSlowReadPause)
+	return r.Conn.Read(buffer[:min(len(buffer), soakSlowReadBytes)])
+}
