soak: count a request as read before a stop if its attempt arrived before that ended

The judge took a request that was sent within a stop for one that is read after it. Where its attempt arrives before the stop ends, it was read before, and the client's time counts from when it was sent. All other cases are judged as before.

--- a/loadtest/soakjudge.go
+++ b/loadtest/soakjudge.go
@@ -86,7 +86,10 @@
 		report(a.arrived, "%016x at %s: no client sent it", a.txn, a.cache)
 		return
 	}
-	sent := h.runningFrom(r.router, r.sent) // a stopped router can't have read it before
+	sent := r.sent
+	if running := h.runningFrom(r.router, sent); !a.arrived.Before(running) { // a stopped router can't have read it before
+		sent = running
+	}
 	if left := r.timeout - sent.Sub(r.sent); a.timeout > left+soakTimeoutExcess {
 		report(a.arrived, "%016x at %s: told to wait %v where the client has at most %v", a.txn, a.cache, a.timeout, left)
 	}
