failover: release no order that the replica may have run and forgotten

What callers saw: with as many records as MaxRecords allows, the client of a router that had stood still could be told that its order never ran, when another router had run it. A client may send such an order again: it would run twice.

Cause: an owner that rejects an order asks its replica to let go of it. A replica that no longer has the record took the message for news of an order it had never held, noted it as never run and acknowledged. But it may have passed the order on, or run it, and forgotten that early for want of room.

TestReplicaThatForgotReleasesNothing plays that as a script and fails before this commit.

Why this fix works: a replica that has forgotten anything early is uncertain for as long as that may matter (that state stood already, and bounds what claims are told). An uncertain one that lacks the record refuses the release, and the client is told that the order may have run. A certain one never had the record, and acknowledges as before.

--- a/internal/cluster/failover/bounds_test.go
+++ b/internal/cluster/failover/bounds_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"hillknot/internal/testutil/simulation"
 )
 
 // fillEndedOrders has orders of clients end as served until the owner remembers as many as it may.
@@ -54,3 +56,55 @@
 		})
 	}
 }
+
+// A replica that has run an order of a paused owner, and has forgotten that too early, does not tell the owner that the order
+// never ran: the client would send it again.
+func TestReplicaThatForgotReleasesNothing(t *testing.T) {
+	s := newBoundedScript(t, 4, 16)
+	o := s.order(2500 * ms)
+	s.pass(50 * ms)
+	replica, _ := s.replica()
+	s.pause(s.owner, time.Second)
+	s.pass(500 * ms) // the replica takes the owner for lost, and the order over
+	s.sendOrder(replica, o)
+	s.serve(replica, o)
+	for i := range s.maxRecords { // each takes the place of a record
+		claimed := clientOrder(fmt.Sprintf("unknown %d", i), time.Second)
+		replica.coordinator.Claim(replica.clock(s.now), uint64(1000+i), claimed)
+	}
+	s.pass(s.owner.pausedUntil - stepTime - s.now)
+	s.finish(s.owner, s.owner.requests[o.txn], Outcome{Kind: NeverRan}) // the first that the owner does as it wakes
+	s.pass(400 * ms)
+	s.checkAnswer(o, MayHaveRun, 1)
+}
+
+// Every bound of records, from the least on, keeps to the rules through faults of all kinds.
+func TestOnceWithFewRecords(t *testing.T) {
+	bounds := []int{16, 17, 24, 40, 80}
+	simulation.ForEachSeed(*seeds, func(seed uint64) {
+		maxRecords := bounds[seed%uint64(len(bounds))]
+		c, err := simulateBounded(t, seed, 10*time.Second, maxRecords)
+		if err != nil {
+			t.Errorf("%d records: %v", maxRecords, err)
+			return
+		}
+		for _, r := range c.routers {
+			if records := r.coordinator.Stats().Records; !r.down && records > maxRecords {
+				t.Errorf("seed %d: %s holds %d records of %d", seed, r.name, records, maxRecords)
+			}
+		}
+	})
+}
+
+// FuzzRecordBounds looks for a seed and a bound that break a rule, or the process.
+func FuzzRecordBounds(f *testing.F) {
+	for seed := range uint64(4) {
+		f.Add(seed, uint16(16+seed))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, bound uint16) {
+		maxRecords := 16 + int(bound)%maxSimRecords
+		if _, err := simulateBounded(t, seed, 6*time.Second, maxRecords); err != nil {
+			t.Errorf("%d records: %v", maxRecords, err)
+		}
+	})
+}
--- a/internal/cluster/failover/replica.go
+++ b/internal/cluster/failover/replica.go
@@ -160,6 +160,9 @@
 func (c *Coordinator) storeOutcome(now time.Duration, from Incarnation, lease *ownerLease, m message) replyKind {
 	r := c.stored.records[m.Txn]
 	switch {
+	case r == nil && m.Outcome.Kind == NeverRan && !c.certain(now):
+		// It may have been here, passed on, and forgotten too early: its owner knows only that it did not send it.
+		return replyGivenAway
 	case r == nil:
 		if r = c.newRecord(now, m.Txn); r == nil {
 			c.uncertainUntil = now + c.settings.Retention
