failover: renew no lease by an outcome that a replica acknowledges

What callers saw: a client was told that its order may have run, and that was final; 0.8 s later the order ran. None ran twice.

Cause: a replica acknowledges an outcome also from an owner that it took for lost, and renews no lease for it. The owner took any acknowledgement for a renewed lease, so one of a lost session was valid again, and what had been granted before under it was sent.

TestOutcomeRenewsNoLease fails before this commit.

Why this fix works: the owner renews a lease by just the messages by which the replica does. A lost lease is still told by the reply to each of these.

--- a/internal/cluster/failover/bounds_test.go
+++ b/internal/cluster/failover/bounds_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// Only what renews a lease at the replica renews it at the owner: a replica acknowledges an outcome from an owner that it took
+// for lost, too. That once let the owner send an order that the replica had told a claimant to have been lost.
+func TestOutcomeRenewsNoLease(t *testing.T) {
+	s := newScript(t, 4)
+	session := s.owner.coordinator.owned.session
+	for _, step := range []step{stepNone, stepTaken, stepTransferable, stepMaySend, stepEnded} {
+		now := s.owner.clock(s.now)
+		session.leaseUntil = 0
+		request := sentMessage{session: session.number, step: step, sentAt: now}
+		s.owner.coordinator.updateSession(now, request, nil, reply{Kind: replyAcknowledged})
+		if renewed := session.leaseUntil > 0; renewed != (step != stepEnded) {
+			t.Errorf("an acknowledged step %q renews the lease: %t", step, renewed)
+		}
+	}
+}
+
 // A replica that has run an order of a paused owner, and has forgotten that too early, does not tell the owner that the order
 // never ran: the client would send it again.
 func TestReplicaThatForgotReleasesNothing(t *testing.T) {
--- a/internal/cluster/failover/session.go
+++ b/internal/cluster/failover/session.go
@@ -62,9 +62,10 @@
 		if !session.lost {
 			c.replicaLost(now, session)
 		}
+	case req.step == stepEnded: // a replica takes an outcome from a lost owner, too, and renews no lease for it
 	case answer.Kind == replyAcknowledged: // the replica got the message after it was sent: the lease counts from there
 		session.leaseUntil = max(session.leaseUntil, req.sentAt+c.settings.LeaseDuration)
-	case answer.Kind == replyLeaseLost && req.step != stepEnded:
+	case answer.Kind == replyLeaseLost:
 		c.sessionLost(now, session)
 	}
 }
