failover: send an order under no second replica once the first may know that it may be sent

What callers saw: a client was told that its order may have run, and the order began to run later, against the third guarantee of docs/design/takeover.md. None ran twice.

Cause: a replica that was told "may", and then takes the owner for lost, answers claimants that the order may have run, for good. An owner that got no answer from that replica went to another one and sent the order under its lease.

Why this fix works: whoever may have heard "may" counts as one that may decide, and the order ends as "may have run" if it does not answer. A replica that answers that it is full holds nothing, and is left for another as before.

--- a/internal/cluster/failover/bounds_test.go
+++ b/internal/cluster/failover/bounds_test.go
@@ -94,10 +94,16 @@
 	s.checkAnswer(o, MayHaveRun, 1)
 }
 
-// Every bound of records, from the least on, keeps to the rules through faults of all kinds.
+// Every bound of records, from the least on, keeps to the rules through faults of all kinds. The seeds that once broke one are
+// always run: 1430 a replica that had forgotten the order, 2229 a second replica after one that did not answer, 4292 a lease
+// renewed by an outcome.
 func TestOnceWithFewRecords(t *testing.T) {
 	bounds := []int{16, 17, 24, 40, 80}
-	simulation.ForEachSeed(*seeds, func(seed uint64) {
+	found := []uint64{1430, 2229, 4292}
+	simulation.ForEachSeed(*seeds+len(found), func(seed uint64) {
+		if beyond := int(seed) - *seeds; beyond >= 0 {
+			seed = found[beyond]
+		}
 		maxRecords := bounds[seed%uint64(len(bounds))]
 		c, err := simulateBounded(t, seed, 10*time.Second, maxRecords)
 		if err != nil {
--- a/internal/cluster/failover/replication.go
+++ b/internal/cluster/failover/replication.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"errors"
 	"slices"
 	"time"
 )
@@ -34,6 +35,7 @@
 const (
 	exposedToNone   exposure = iota // no replica was told of it, so this router may give it to a claimant
 	exposedRecord                   // a replica was told, and may not pass it on
+	exposedSend                     // a replica was told that it may be sent: if the owner is lost, it says so for good
 	exposedTransfer                 // a replica was told that it may pass it on: only that one knows more
 )
 
@@ -48,9 +50,12 @@
 // markSent notes that the replica was told the target.
 func (r *replication) markSent() {
 	r.sent = r.target
-	if r.target == stepTransferable {
+	switch r.target {
+	case stepTransferable:
 		r.exposure = exposedTransfer
-	} else {
+	case stepMaySend:
+		r.exposure = max(r.exposure, exposedSend)
+	default:
 		r.exposure = max(r.exposure, exposedRecord)
 	}
 }
@@ -175,7 +180,8 @@
 	r := &o.replication
 	switch {
 	case o.state.ended() || o.state.sent():
-	case r.exposure == exposedTransfer: // that replica may have it all the same, and nobody else can tell
+	case r.exposure == exposedTransfer, r.exposure == exposedSend && !errors.As(err, new(ReplicaFullError)):
+		// That replica may decide about it all the same, and nobody else can tell. One that is full holds nothing of it.
 		c.stopOrder(now, txn, o, MayHaveRun, NotReleasedError{r.session.replica})
 	case now >= o.deadline:
 		c.stopOrder(now, txn, o, NeverRan, err)
--- a/internal/cluster/failover/session.go
+++ b/internal/cluster/failover/session.go
@@ -82,7 +82,7 @@
 	for _, txn := range slices.Sorted(maps.Keys(c.owned.orders)) {
 		o := c.owned.orders[txn]
 		r := &o.replication
-		if r.session == session && !o.state.ended() && r.exposure != exposedTransfer {
+		if r.session == session && !o.state.ended() && r.exposure < exposedSend {
 			r.leaveReplica()
 			c.owned.changed = append(c.owned.changed, txn)
 		}
