topups: bound what is read of the file, and say why it can't be read

What callers saw: nothing yet; an operator whose file of top-ups could not be read was told so without a reason, and a path to something that never ends was read until the memory was gone, with the router's clients.

Cause: the size was taken from stat(2), which is 0 for a device or a pipe, and the HCL parser, which read the file itself, drops the system's error.

Evidence: on the code before, TestUnreadableFile gets "could not be read" in all its six cases (ENOENT twice, EISDIR, ELOOP, ENAMETOOLONG, EIO). TestEndlessFile was not run there, as it would take all memory: os.ReadFile has no bound.

A file cut at any byte gives an error or the whole top-ups that are left, as before (TestCutFile).

Measured: the three tests pass; the golden top-ups and the packages of credit pass unchanged.

--- a/internal/credit/topups/topups.go
+++ b/internal/credit/topups/topups.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"os"
 
@@ -40,10 +41,11 @@
 // Read reads the file, which is HCL. Errors name the file, and if they can, line and column. What the top-ups say is
 // for credit.Ledger.ApplyTopUps to check.
 func Read(path string) ([]credit.TopUp, error) {
-	if info, err := os.Stat(path); err == nil && info.Size() > maxFileSize {
-		return nil, fmt.Errorf("top-ups %s: over %d bytes", path, maxFileSize)
+	text, err := readBounded(path)
+	if err != nil {
+		return nil, fmt.Errorf("top-ups: %w", err)
 	}
-	parsed, diagnostics := hclparse.NewParser().ParseHCLFile(path)
+	parsed, diagnostics := hclparse.NewParser().ParseHCL(text, path)
 	if diagnostics.HasErrors() {
 		return nil, fmt.Errorf("top-ups: %w", diagnostics)
 	}
@@ -69,3 +71,20 @@
 	}
 	return list, nil
 }
+
+// readBounded reads a file, which may be of any kind, up to maxFileSize. The error names the file.
+func readBounded(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, maxFileSize+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > maxFileSize {
+		return nil, fmt.Errorf("%s: over %d bytes", path, maxFileSize)
+	}
+	return text, nil
+}
