--- a/internal/frontend/dns/server.go
+++ b/internal/frontend/dns/server.go
@@ -59,8 +59,8 @@
 func listenOnce(c Core, cfg config.DNS, limits config.Limits, budget *netio.Budget) (*Server, error) {
 	s := &Server{core: c, cfg: cfg, limits: limits}
 	var err error
-	s.tcp, err = netio.Listen(cfg.Listen, limits.DNSConns, limits.DNS, budget, func(nc *netio.Conn) netio.Handler {
-		return &tcpConn{server: s, nc: nc}
+	s.tcp, err = netio.Listen(cfg.Listen, limits.DNSConns, limits.DNS, budget, func(transport *netio.Conn) netio.Handler {
+		return &tcpConn{server: s, transport: transport}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/frontend/dns/transport.go
+++ b/internal/frontend/dns/transport.go
@@ -106,8 +106,8 @@
 
 // tcpConn is a resolver's connection over TCP.
 type tcpConn struct {
-	server *Server
-	nc     *netio.Conn
+	server    *Server
+	transport *netio.Conn
 }
 
 // lengthSize is the size of the length before each message over TCP, RFC 1035, 4.2.2.
@@ -115,7 +115,7 @@
 
 // Consume implements netio.Handler.
 func (c *tcpConn) Consume(buf []byte) (used, want int, err error) {
-	from, _ := netip.ParseAddrPort(c.nc.RemoteAddr().String()) // without an address, all clients share one key
+	from, _ := netip.ParseAddrPort(c.transport.RemoteAddr().String()) // without an address, all clients share one key
 	for {
 		rest := buf[used:]
 		if len(rest) < lengthSize {
@@ -133,12 +133,12 @@
 // send sends a reply, or closes the connection where there is none.
 func (c *tcpConn) send(reply []byte) {
 	if reply == nil {
-		c.nc.Close()
+		c.transport.Close()
 		return
 	}
 	message := append(binary.BigEndian.AppendUint16(nil, uint16(len(reply))), reply...)
-	if err := c.nc.Send(message); err != nil {
-		log.Debug("response not sent", logging.KeyClient, c.nc.RemoteAddr(), logging.KeyError, err)
+	if err := c.transport.Send(message); err != nil {
+		log.Debug("response not sent", logging.KeyClient, c.transport.RemoteAddr(), logging.KeyError, err)
 	}
 }
 
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -20,8 +20,8 @@
 
 // conn is a client's connection. Its fields from open on belong to the core's goroutine.
 type conn struct {
-	server *Server
-	nc     *netio.Conn
+	server    *Server
+	transport *netio.Conn
 
 	open        map[uint64]balancer.RequestID // requests without an answer, by the client's message id
 	badRequests int                           // requests that could not be used
@@ -35,7 +35,7 @@
 	for {
 		m, progress, err := rpc.ParseMessage(buf[used:], c.server.limits.MessageBytes)
 		if err != nil {
-			log.Debug("client message malformed", logging.KeyClient, c.nc.RemoteAddr(), logging.KeyError, err)
+			log.Debug("client message malformed", logging.KeyClient, c.transport.RemoteAddr(), logging.KeyError, err)
 		}
 		if err != nil || progress.Consumed == 0 {
 			return used, progress.Needed, err
@@ -74,13 +74,13 @@
 			c.server.core.Post(func() { c.cancel(m.IDs) })
 		}
 	case string(m.Method) == methodHealth:
-		c.nc.AddPendingReplies(1)
+		c.transport.AddPendingReplies(1)
 		c.server.core.Post(func() {
 			ready := c.server.core.Snapshot().Phase == core.Serving
 			_ = c.send(rpc.AppendHealthResponse(nil, m.ID, ready)) // send has logged an error
 		})
 	default:
-		c.nc.AddPendingReplies(1)
+		c.transport.AddPendingReplies(1)
 		request, code := c.server.newRequest(m)
 		request.ArrivedAt = c.server.core.EarliestArrival()
 		c.server.core.Post(func() { c.submit(m.ID, request, code) })
@@ -124,8 +124,8 @@
 // closeOnFault closes the connection of a client that breaks the protocol, once its open requests are answered. The
 // request that showed the fault gets no answer.
 func (c *conn) closeOnFault(reason netio.CloseReason) {
-	c.nc.AddPendingReplies(-1)
-	c.nc.CloseAfterReplies(reason)
+	c.transport.AddPendingReplies(-1)
+	c.transport.CloseAfterReplies(reason)
 	c.abortOpen()
 }
 
@@ -133,7 +133,7 @@
 	for _, messageID := range messageIDs {
 		if id, ok := c.open[messageID]; ok {
 			delete(c.open, messageID)
-			c.nc.AddPendingReplies(-1)
+			c.transport.AddPendingReplies(-1)
 			c.server.core.CancelRequest(id)
 		}
 	}
@@ -163,18 +163,18 @@
 
 // write queues a response.
 func (c *conn) write(response []byte) error {
-	err := c.nc.Send(response)
+	err := c.transport.Send(response)
 	if err != nil {
-		log.Debug("response not sent", logging.KeyClient, c.nc.RemoteAddr(), logging.KeyError, err)
+		log.Debug("response not sent", logging.KeyClient, c.transport.RemoteAddr(), logging.KeyError, err)
 	}
 	return err
 }
 
 // replied counts the reply to one request as given, with the error of writing it.
 func (c *conn) replied(err error) {
-	c.nc.AddPendingReplies(-1)
+	c.transport.AddPendingReplies(-1)
 	if err == nil && c.server.core.DrainStage() >= core.CloseAfterResponse {
-		c.nc.CloseWhenIdle()
+		c.transport.CloseWhenIdle()
 	}
 }
 
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -45,8 +45,8 @@
 	for _, class := range classes {
 		s.classes[class.Name] = class
 	}
-	newHandler := func(nc *netio.Conn) netio.Handler {
-		return &conn{server: s, nc: nc, open: map[uint64]balancer.RequestID{}}
+	newHandler := func(transport *netio.Conn) netio.Handler {
+		return &conn{server: s, transport: transport, open: map[uint64]balancer.RequestID{}}
 	}
 	var err error
 	if inherited > 0 {
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -119,10 +119,10 @@
 	return true
 }
 
-// hasOutputUnderWay says whether the peer has yet to take some of what was written within the write time-out. To close
+// hasUnacknowledgedOutput says whether the peer has yet to take some of what was written within the write time-out. To close
 // the connection could lose it: input that crosses the close resets the connection, and what the system still holds goes
 // with it.
-func (c *Conn) hasOutputUnderWay() bool {
+func (c *Conn) hasUnacknowledgedOutput() bool {
 	sinceWritten := clock.Now() - time.Duration(c.lastActive.Load())
 	return sinceWritten < c.limits.WriteTimeout && c.writeProgress().queued > 0
 }
--- a/internal/netio/evict.go
+++ b/internal/netio/evict.go
@@ -145,7 +145,7 @@
 			return evictionLater
 		case c == nil:
 			return evictionNone
-		case c.hasOutputUnderWay() || rank != rankEnding && !c.shutIfIdle(rank.partial()):
+		case c.hasUnacknowledgedOutput() || rank != rankEnding && !c.shutIfIdle(rank.partial()):
 			busy = append(busy, c) // the peer takes an answer, or something has come, and is about to be read
 			continue
 		}
--- a/loadtest/soak.go
+++ b/loadtest/soak.go
@@ -103,8 +103,8 @@
 	var clients, faults sync.WaitGroup
 	for i, r := range s.Routers {
 		clients.Go(func() { newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i)).run(stop) })
-		if hasCrowd(seed) {
-			clients.Go(func() { crowd(r.ListenAddress, stop) })
+		if hasIdleClients(seed) {
+			clients.Go(func() { holdIdleConns(r.ListenAddress, stop) })
 		}
 	}
 	end := s.start.Add(s.settings.Length)
@@ -119,8 +119,8 @@
 
 // soakSockets is how many descriptors a router has in the run of a seed; 0: the default.
 func soakSockets(seed uint64) int {
-	if hasCrowd(seed) {
-		return soakCrowdSockets
+	if hasIdleClients(seed) {
+		return soakIdleRunSockets
 	}
 	return 0
 }
--- a/loadtest/soakcrowd.go
+++ b/loadtest/soakcrowd.go
@@ -7,20 +7,21 @@
 )
 
 const (
-	soakCrowdEvery     = 3   // of so many seeds, one each has a crowd
-	soakCrowdSockets   = 256 // descriptors of a router in a crowd
-	soakCrowdClients   = 160 // idle clients of a router, more than it has places for
-	soakCrowdPause     = 100 * time.Millisecond
-	soakCrowdReadLimit = 4 << 10 // bytes that an idle client reads at a time
+	soakIdleRunEvery   = 3   // of so many seeds, one each has a crowd
+	soakIdleRunSockets = 256 // descriptors of a router in a crowd
+	soakIdleClients    = 160 // idle clients of a router, more than it has places for
+	soakIdlePause      = 100 * time.Millisecond
+	soakIdleReadLimit  = 4 << 10 // bytes that an idle client reads at a time
 )
 
-// hasCrowd reports whether idle clients fill the descriptors of the routers in the run of a seed.
-func hasCrowd(seed uint64) bool { return seed%soakCrowdEvery == 0 }
+// hasIdleClients reports whether idle clients fill the descriptors of the routers in the run of a seed.
+func hasIdleClients(seed uint64) bool { return seed%soakIdleRunEvery == 0 }
 
-// crowd has idle clients hold connections to a router until stop is closed. One whose connection ends calls again.
-func crowd(address string, stop <-chan struct{}) {
+// holdIdleConns has a crowd of idle clients hold connections to a router until stop is closed. One whose connection ends
+// calls again.
+func holdIdleConns(address string, stop <-chan struct{}) {
 	var clients sync.WaitGroup
-	for range soakCrowdClients {
+	for range soakIdleClients {
 		clients.Go(func() { idleClient(address, stop) })
 	}
 	clients.Wait()
@@ -32,7 +33,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(soakCrowdPause):
+		case <-time.After(soakIdlePause):
 		}
 		conn, err := net.DialTimeout("tcp", address, soakDialTimeout)
 		if err != nil {
@@ -48,7 +49,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		buffer := make([]byte, soakCrowdReadLimit)
+		buffer := make([]byte, soakIdleReadLimit)
 		for {
 			if _, err := conn.Read(buffer); err != nil {
 				return
--- a/loadtest/soakslowstart.go
+++ b/loadtest/soakslowstart.go
@@ -54,7 +54,7 @@
 }
 
 // judgeWarmUp checks one start of a page cache: each window in which it got too much is a violation if more than two thirds of
-// that came from routers that had been told of the start. Only the first is reported.
+// that came from routers that had been notified of the start. Only the first is reported.
 func (h *soakHistory) judgeWarmUp(
 	cache string, started time.Time, usual int, attempts []*soakAttempt, report reportViolation,
 ) {
@@ -65,9 +65,9 @@
 		}
 		window := attempts[first:][:countWithin(attempts[first:], fallWindow)]
 		allowed := warmUpAllowance(age, usual)
-		if told := h.countTold(window, started); float64(len(window)) > allowed && 3*told > 2*len(window) {
+		if notified := h.countNotified(window, started); float64(len(window)) > allowed && 3*notified > 2*len(window) {
 			report(a.arrived, "%s, %v after its start: %d attempts in %v, %d of routers that knew; it bears %.0f", cache, age,
-				len(window), fallWindow, told, allowed)
+				len(window), fallWindow, notified, allowed)
 			return
 		}
 	}
@@ -85,8 +85,8 @@
 	return bears + largeFactor*math.Sqrt(bears) + largeFactor
 }
 
-// countTold returns how many attempts came from routers that should have been told of a start by then.
-func (h *soakHistory) countTold(attempts []*soakAttempt, started time.Time) (count int) {
+// countNotified returns how many attempts came from routers that should have been notified of a start by then.
+func (h *soakHistory) countNotified(attempts []*soakAttempt, started time.Time) (count int) {
 	for _, a := range attempts {
 		r := h.requests[a.txn]
 		count += countIf(r != nil && !a.arrived.Before(h.receivedBy(r.router, started, a.arrived)))
