--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -18,7 +18,7 @@
 )
 
 // version is that of the latest entry of CHANGELOG.md.
-const version = "0.15.0"
+const version = "0.15.1"
 
 func main() { os.Exit(runCommandLine(os.Args[1:], os.Stdout, os.Stderr)) }
 
