Log and export what a process uses, its stalls, and why it refuses and closes

'discovery connection lost' says how long the connection lasted, what position it reached, and whether unread bytes waited; 'router serving' names the version and the limits, 'shutdown finished' the peak memory. New metrics: app_process_*, app_buffered_bytes, app_queue_*, app_stalls, app_refusals{reason}, app_attempts_ended{status}, app_retries, app_closes{reason}. Closes of a connection that is already closing count once; one that is cut off with too many unwritten bytes now has a reason of its own.

--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -43,6 +43,7 @@
 	options        routerOptions
 	cfg            *config.Config
 	core           *core.Core
+	budget         *netio.Budget // of what clients and page caches may have buffered
 	upstream       *upstream.Client
 	watcher        *discovery.Watcher
 	clients        *msgpackrpc.Server
@@ -185,7 +186,8 @@
 		r.core.ReleaseStart()
 		r.options.onServing(r.adminAddr)
 	})
-	log.Info("router serving", "name", r.cfg.Name, logging.KeyListen, r.clients.Addr(), "pid", os.Getpid())
+	log.Info("router serving", "name", r.cfg.Name, logging.KeyListen, r.clients.Addr(), "pid", os.Getpid(),
+		"version", version, "memory_mb", r.cfg.Limits.MemoryMB, "sockets", r.cfg.Limits.Sockets)
 	return nil
 }
 
@@ -198,6 +200,7 @@
 	}
 	r.termination.core.Store(r.core)
 	budget := netio.NewBudget(limits.BufferedBytes)
+	r.budget = budget
 	r.upstream = upstream.New(r.core, limits, budget, clock.Now)
 	r.core.SetUpstream(r.upstream)
 	if r.watcher, err = discovery.New(r.core, r.cfg.DiscoveryAddr, limits, r.cfg.KnownEvents); err != nil {
@@ -241,7 +244,7 @@
 		r.otherFrontEnds = append(r.otherFrontEnds, namedFrontEnd{front, "agent check"})
 	}
 	if r.cfg.AdminAddr != "" {
-		front, err := admin.Listen(r.cfg.AdminAddr, r.core, limits)
+		front, err := admin.Listen(r.cfg.AdminAddr, r.core, limits, budget)
 		if err != nil {
 			return fmt.Errorf("admin front end: %w", err)
 		}
@@ -268,6 +271,7 @@
 	r.core.HoldStart()
 	go r.core.Run(r.stop)
 	go r.watcher.Run(r.stop)
+	go (&resourceMonitor{limits: r.cfg.Limits, snapshot: r.core.Snapshot, buffered: r.budget.Used}).run(r.stop)
 }
 
 // startOtherFrontEnds starts all front ends except that of clients.
--- a/cmd/hillknot/shutdown.go
+++ b/cmd/hillknot/shutdown.go
@@ -5,6 +5,7 @@
 
 	"hillknot/internal/clock"
 	"hillknot/internal/logging"
+	"hillknot/internal/resources"
 )
 
 // shutdownPollInterval is the interval at which a shutdown checks whether every request is answered.
@@ -26,7 +27,8 @@
 		close(closed)
 	})
 	<-closed
-	log.Info("shutdown finished", logging.KeyDuration, clock.Now()-start, "has_successor", r.core.Snapshot().HasSuccessor)
+	log.Info("shutdown finished", append(usageAttributes(resources.Read()),
+		logging.KeyDuration, clock.Now()-start, "has_successor", r.core.Snapshot().HasSuccessor)...)
 	r.clients.Shutdown(start + limits.ShutdownTimeout + limits.ShutdownFlush)
 }
 
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -20,6 +20,9 @@
 		return
 	}
 	r.attempt = a
+	if a.Index > 0 {
+		c.stats.retriesSent++
+	}
 	for _, p := range c.iteration.pendingPurges {
 		c.excludeOlderCopies(a, p)
 	}
@@ -96,6 +99,7 @@
 	if !r.mayHaveRun && !result.Status.NeverRan() {
 		r.mayHaveRun, r.mayHaveRunSince = true, a.sentAt
 	}
+	c.stats.attemptsEnded[result.Status]++
 	c.traceAttemptEnd(a, result)
 	if c.extensions.cluster != nil {
 		c.extensions.cluster.countResult(a, result)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,8 +37,9 @@
 	lifecycle  lifecycle
 	extensions extensions
 
-	stats        statistics
-	traceEnabled bool // debug lines are logged
+	stats         statistics
+	stallLoggedAt time.Duration // on the core's clock; 0: never
+	traceEnabled  bool          // debug lines are logged
 }
 
 // iteration holds what the current iteration of the loop works on.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -74,6 +74,7 @@
 			c.abandonAttempt(r.attempt, balancer.Cancelled)
 		}
 	case balancer.Reject:
+		c.CountRefusal(RefusedByDecision)
 		c.completeQuery(a.ID, QueryResult{Rejected: true})
 		c.answer(c.requests.open[a.ID], Answer{Verdict: Rejected, RetryAfter: a.RetryAfter})
 	case balancer.Fail:
@@ -92,7 +93,11 @@
 // time of its last check, and whether there was a stall. A stall after that time is not detected yet.
 func (c *Core) awaitBacklog() (checkedAt time.Duration, stalled bool) {
 	now := c.clock()
-	if !c.stalls.detect(now) || c.hasBacklog == nil {
+	if !c.stalls.detect(now) {
+		return now, false
+	}
+	c.logStall(now)
+	if c.hasBacklog == nil {
 		return now, false
 	}
 	for end := now + c.limits.BacklogWait; now < end; now = c.clock() {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -9,8 +9,12 @@
 	mu          sync.Mutex
 	watchEvents []func() // of discovery; they run before the calls of the same iteration
 	calls       []func()
+	peak        int // the largest number of queued calls so far
 }
 
+// QueueUsage says how many calls of other goroutines wait for the event loop.
+type QueueUsage struct{ Length, Peak int }
+
 func newEventQueue() eventQueue { return eventQueue{wake: make(chan struct{}, 1)} }
 
 // Post has f called on the core's goroutine, in the order of the calls of Post. Any goroutine may call it.
@@ -23,6 +27,7 @@
 func (q *eventQueue) post(to *[]func(), f func()) {
 	q.mu.Lock()
 	*to = append(*to, f)
+	q.peak = max(q.peak, len(q.watchEvents)+len(q.calls))
 	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
@@ -47,3 +52,9 @@
 	q.watchEvents = nil
 	return events
 }
+
+func (q *eventQueue) usage() QueueUsage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return QueueUsage{Length: len(q.watchEvents) + len(q.calls), Peak: q.peak}
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -101,14 +101,17 @@
 		deadline = min(deadline, c.lifecycle.shutdownDeadline(&c.limits))
 	}
 	switch {
-	case len(c.requests.open) >= c.limits.OpenRequests || c.lifecycle.state == stateClosed || c.DrainStage() >= RejectNew:
-		c.rejectNew(&q, "over the limit, or the router is draining", c.rejection())
+	case len(c.requests.open) >= c.limits.OpenRequests:
+		c.rejectNew(&q, RefusedTooManyOpen, c.rejection())
+		return
+	case c.lifecycle.state == stateClosed || c.DrainStage() >= RejectNew:
+		c.rejectNew(&q, RefusedDraining, c.rejection())
 		return
 	case deadline <= c.iteration.now:
-		c.rejectNew(&q, "no time left", Answer{Verdict: Rejected})
+		c.rejectNew(&q, RefusedNoTime, Answer{Verdict: Rejected})
 		return
 	case c.requests.byTxn[q.Txn] != nil: // page caches could not tell the two requests apart
-		c.rejectNew(&q, "duplicate txn", Answer{Verdict: Failed, Reason: ReasonBadRequest})
+		c.rejectNew(&q, RefusedDuplicate, Answer{Verdict: Failed, Reason: ReasonBadRequest})
 		return
 	}
 	r := &request{
@@ -135,7 +138,8 @@
 }
 
 // rejectNew answers a request that is not taken.
-func (c *Core) rejectNew(q *Request, reason string, a Answer) {
+func (c *Core) rejectNew(q *Request, reason RefusalReason, a Answer) {
+	c.CountRefusal(reason)
 	c.traceRejected(q, reason)
 	c.reply(q, a)
 }
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -13,6 +13,11 @@
 	ByClass           []ClassCounts   // in the order of the settings; UnknownClass is last
 	AttemptsWritten   uint64          // attempts that were written in full
 	RuleViolations    uint64          // should be 0
+	RetriesSent       uint64          // attempts that were decided after the first one of their request
+	AttemptsEnded     []LabelledCount // by status
+	Refusals          []LabelledCount // by reason
+	Queue             QueueUsage
+	Stalls            StallStatistics
 	OpenRequests      int             // requests that await their answer
 	PageCaches        int             // page caches on the endpoint list
 	AvoidedPageCaches int             // listed page caches that the module avoids
@@ -32,6 +37,11 @@
 		ByClass:         append([]ClassCounts(nil), c.stats.byClass...),
 		AttemptsWritten: c.stats.attemptsWritten,
 		RuleViolations:  c.stats.ruleViolations,
+		RetriesSent:     c.stats.retriesSent,
+		AttemptsEnded:   c.stats.labelledAttempts(),
+		Refusals:        c.stats.labelledRefusals(),
+		Queue:           c.queue.usage(),
+		Stalls:          c.stalls.statistics(),
 		OpenRequests:    len(c.requests.open),
 	}
 	s.PageCaches, s.AvoidedPageCaches = c.module.CacheCounts()
--- a/internal/core/snapshot_test.go
+++ b/internal/core/snapshot_test.go
@@ -58,3 +58,30 @@
 		t.Errorf("the other page cache is healthy again: %d are avoided", s.AvoidedPageCaches)
 	}
 }
+
+// The snapshot says why requests were refused, how attempts ended, how many calls waited and how long the loop stalled.
+func TestSnapshotExplainsRefusalsAndAttempts(t *testing.T) {
+	h := newHarness(t)
+	for range 3 {
+		h.core.Post(func() {})
+	}
+	h.submit("page", 3*second)
+	h.core.CountRefusal(RefusedMemory)
+	h.now += 600 * time.Millisecond // the process stalls
+	h.core.awaitBacklog()
+	h.core.CompleteAttempt(h.outstanding[0], AttemptResult{Status: balancer.OK})
+	h.core.RunOnce()
+	s := h.core.Snapshot()
+	if got := s.Refusals[RefusedMemory]; got != (LabelledCount{"too many bytes buffered", 1}) {
+		t.Errorf("refusals for lack of memory: %+v", got)
+	}
+	if got := s.AttemptsEnded[balancer.OK]; got != (LabelledCount{"ok", 1}) {
+		t.Errorf("attempts that ended well: %+v", got)
+	}
+	if s.Queue.Length != 0 || s.Queue.Peak < 3 {
+		t.Errorf("queue: %+v, want a peak of 3 at least and nothing left", s.Queue)
+	}
+	if s.Stalls.Count != 1 || s.Stalls.Longest != 600*time.Millisecond {
+		t.Errorf("stalls: %+v, want one of 600ms", s.Stalls)
+	}
+}
--- a/internal/core/stall.go
+++ b/internal/core/stall.go
@@ -19,6 +19,13 @@
 	stalledSince time.Duration // the last iteration before the latest stall
 	unreadUntil  time.Duration // input that is read until then may have arrived during that stall
 	detectedAt   time.Duration // when that stall was detected, which counts as its end
+	seen         StallStatistics
+}
+
+// StallStatistics counts the stalls of the process.
+type StallStatistics struct {
+	Count           uint64
+	Latest, Longest time.Duration
 }
 
 // detect reports whether the process has stalled since the latest iteration, and records the stall.
@@ -32,9 +39,19 @@
 		m.stalledSince = m.lastTick
 	}
 	m.unreadUntil, m.detectedAt = now+m.recovery, now
+	m.seen.Count++
+	m.seen.Latest = now - m.lastTick
+	m.seen.Longest = max(m.seen.Longest, m.seen.Latest)
 	return true
 }
 
+// statistics returns the stalls that were detected so far.
+func (m *stallMonitor) statistics() StallStatistics {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen
+}
+
 // endRecovery records that all input that arrived during the latest stall has been read.
 func (m *stallMonitor) endRecovery(now time.Duration) {
 	m.mu.Lock()
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -28,7 +28,10 @@
 	byClass         []ClassCounts  // in the order of the settings; UnknownClass is last
 	attemptsWritten uint64
 	ruleViolations  uint64
-	snapshot        atomic.Pointer[Snapshot] // the latest; any goroutine may load it
+	attemptsEnded   [attemptStatusCount]uint64        // by status
+	retriesSent     uint64                            // attempts after the first one of their request
+	refusals        [refusalReasonCount]atomic.Uint64 // any goroutine may add
+	snapshot        atomic.Pointer[Snapshot]          // the latest; any goroutine may load it
 }
 
 func newStatistics(classes []balancer.Class) statistics {
@@ -58,3 +61,75 @@
 		counts.Error++
 	}
 }
+
+// RefusalReason is why a request was refused or failed without an attempt that answered it.
+type RefusalReason uint8
+
+// The reasons.
+const (
+	RefusedTooManyOpen         RefusalReason = iota // the router has too many open requests
+	RefusedTooManyOnConnection                      // the connection has too many open requests
+	RefusedMemory                                   // too many bytes are buffered
+	RefusedDraining                                 // the router drains or ends
+	RefusedNoTime                                   // the client waits no longer
+	RefusedDuplicate                                // another request with the same txn is open
+	RefusedMalformed                                // the request is not valid
+	RefusedByDecision                               // the decision module rejected it
+	refusalReasonCount
+)
+
+var refusalTexts = [refusalReasonCount]string{
+	RefusedTooManyOpen:         "too many open requests",
+	RefusedTooManyOnConnection: "too many open requests on the connection",
+	RefusedMemory:              "too many bytes buffered",
+	RefusedDraining:            "draining",
+	RefusedNoTime:              "no time left",
+	RefusedDuplicate:           "duplicate txn",
+	RefusedMalformed:           "malformed",
+	RefusedByDecision:          "decided",
+}
+
+// String returns the reason as it is logged and exported.
+func (r RefusalReason) String() string { return refusalTexts[r] }
+
+// CountRefusal counts a request that was refused for a reason. Any goroutine may call it.
+func (c *Core) CountRefusal(reason RefusalReason) { c.stats.refusals[reason].Add(1) }
+
+// attemptStatusCount is the number of statuses of package balancer.
+const attemptStatusCount = balancer.Miss + 1
+
+var attemptStatusTexts = [attemptStatusCount]string{
+	balancer.OK:            "ok",
+	balancer.Error:         "error",
+	balancer.Rejected:      "rejected",
+	balancer.TimedOut:      "timed out",
+	balancer.ConnectFailed: "connect failed",
+	balancer.Reset:         "reset",
+	balancer.Cancelled:     "cancelled",
+	balancer.NotSent:       "not sent",
+	balancer.Miss:          "miss",
+}
+
+// LabelledCount is a counter with the value of its label.
+type LabelledCount struct {
+	Label string
+	Count uint64
+}
+
+// labelledRefusals returns the counted refusals by reason.
+func (s *statistics) labelledRefusals() []LabelledCount {
+	counts := make([]LabelledCount, refusalReasonCount)
+	for i := range counts {
+		counts[i] = LabelledCount{refusalTexts[i], s.refusals[i].Load()}
+	}
+	return counts
+}
+
+// labelledAttempts returns the ended attempts by status.
+func (s *statistics) labelledAttempts() []LabelledCount {
+	counts := make([]LabelledCount, attemptStatusCount)
+	for i := range counts {
+		counts[i] = LabelledCount{attemptStatusTexts[i], s.attemptsEnded[i]}
+	}
+	return counts
+}
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -23,9 +23,9 @@
 	}
 }
 
-func (c *Core) traceRejected(q *Request, reason string) {
+func (c *Core) traceRejected(q *Request, reason RefusalReason) {
 	if c.traceEnabled {
-		log.Debug("request rejected", logging.KeyRequestID, q.Txn, logging.KeyClass, q.Class, logging.KeyReason, reason)
+		log.Debug("request rejected", logging.KeyRequestID, q.Txn, logging.KeyClass, q.Class, logging.KeyReason, reason.String())
 	}
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -130,10 +130,12 @@
 	retry := newBackoff(w.limits.DiscoveryBackoffMin, w.limits.DiscoveryBackoffMax)
 	for {
 		service, position := w.resumePoint()
+		begun := clock.Now()
 		received, err := w.watch(service, position, stop)
 		if err != nil {
+			_, reached := w.resumePoint()
 			log.Warn("discovery connection lost", logging.KeyAddress, service.address, logging.KeyPosition, position,
-				logging.KeyError, err)
+				"reached_position", reached, logging.KeyDuration, clock.Now()-begun, logging.KeyError, err)
 		}
 		wait := retry.next()
 		if received {
@@ -174,6 +176,15 @@
 // errSilent says that the service sent nothing for limits.DiscoverySilence.
 var errSilent = errors.New("discovery service is silent")
 
+// silenceError returns the error of a connection on which nothing was received for a time. It says whether bytes of the
+// service wait to be read, which would be a fault of this process and not of the service.
+func (c *connection) silenceError(silence time.Duration) error {
+	if c.conn.HasUnreadInput() {
+		return fmt.Errorf("%w: received nothing for %v, but unread bytes wait", errSilent, silence)
+	}
+	return fmt.Errorf("%w: received nothing for %v", errSilent, silence)
+}
+
 // watch receives events over one connection until the connection ends or falls silent, the address changes, or stop is
 // closed. It reports whether any bytes were received. The error is nil if the address changed or stop was closed.
 func (w *Watcher) watch(service target, position int64, stop <-chan struct{}) (received bool, err error) {
@@ -197,7 +208,7 @@
 		case <-c.closed:
 			return received, fmt.Errorf("connection ended: %w", netio.ErrClosed)
 		case <-silence.C:
-			return received, fmt.Errorf("%w: received nothing for %v", errSilent, w.limits.DiscoverySilence)
+			return received, c.silenceError(w.limits.DiscoverySilence)
 		case <-service.changed:
 			return received, nil
 		case <-stop:
--- a/internal/frontend/admin/metrics.go
+++ b/internal/frontend/admin/metrics.go
@@ -9,7 +9,7 @@
 
 // appendMetrics appends the metrics in the text format of Prometheus. The names and help texts must not change, as
 // dashboards use them.
-func appendMetrics(b []byte, snapshot *core.Snapshot) []byte {
+func appendMetrics(b []byte, snapshot *core.Snapshot, process processState) []byte {
 	for _, f := range []struct {
 		name, help string
 		count      func(core.ClassCounts) uint64
@@ -35,6 +35,7 @@
 	} {
 		b = fmt.Appendf(appendHeader(b, f.name, f.help, f.kind), "app_%s %d\n", f.name, f.value)
 	}
+	b = appendResourceMetrics(b, snapshot, process)
 	if snapshot.Cluster != nil {
 		b = appendClusterMetrics(b, snapshot.Cluster)
 	}
--- a/internal/frontend/admin/server.go
+++ b/internal/frontend/admin/server.go
@@ -29,14 +29,15 @@
 // Server answers operators on one address.
 type Server struct {
 	*netio.Server
-	core   Core
-	limits config.Limits
+	core     Core
+	limits   config.Limits
+	buffered *netio.Budget // of clients and page caches, for the metrics
 }
 
-// Listen opens the listener. Its connections have a limit of their own, so that clients can't use it up. A connection that
+// Listen opens the listener. buffered is the budget of clients and page caches, which the metrics report. The server's connections have a limit of their own, so that clients can't use it up. A connection that
 // sends nothing is evicted for a new one.
-func Listen(addr string, c Core, limits config.Limits) (*Server, error) {
-	s := &Server{core: c, limits: limits}
+func Listen(addr string, c Core, limits config.Limits, buffered *netio.Budget) (*Server, error) {
+	s := &Server{core: c, limits: limits, buffered: buffered}
 	budget := netio.NewBudget(limits.AdminConns * (limits.AdminHeaderBytes + limits.AdminBodyBytes + limits.Admin.MaxPendingBytes))
 	var err error
 	s.Server, err = netio.Listen(addr, limits.AdminConns, limits.Admin, budget, func(transport *netio.Conn) netio.Handler {
@@ -94,7 +95,7 @@
 	case path == "/status":
 		c.respond(statusResponse(c.server.core.Snapshot().Phase, isHead))
 	case path == "/status/metrics":
-		c.respond(response{status: statusOK, body: string(appendMetrics(nil, c.server.core.Snapshot())), omitBody: isHead})
+		c.respond(response{status: statusOK, body: string(appendMetrics(nil, c.server.core.Snapshot(), c.server.processState())), omitBody: isHead})
 	case path == "/standby":
 		c.server.core.Post(c.enterStandby)
 	default:
--- a/internal/frontend/admin/server_test.go
+++ b/internal/frontend/admin/server_test.go
@@ -15,6 +15,7 @@
 
 	"hillknot/internal/config"
 	"hillknot/internal/core"
+	"hillknot/internal/netio"
 	"hillknot/internal/testutil/parsertest"
 )
 
@@ -47,7 +48,7 @@
 	fake.snapshot.Store(&core.Snapshot{})
 	limits := config.Limits{AdminConns: maxConns, AdminHeaderBytes: 1 << 10, AdminBodyBytes: 1 << 10,
 		Admin: config.ConnLimits{MaxPendingBytes: 1 << 16, ReadTimeout: time.Minute, MessageTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, SilentTimeout: time.Minute}}
-	server, err := Listen("127.0.0.1:0", fake, limits)
+	server, err := Listen("127.0.0.1:0", fake, limits, netio.NewBudget(1<<20))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,3 +171,28 @@
 		return progress.consumed, progress.needed, err
 	})
 }
+
+// The metrics report what the process uses, and why requests were refused and connections closed.
+func TestMetricsReportResourcesAndReasons(t *testing.T) {
+	fake, addr := start(t, 16)
+	fake.snapshot.Store(&core.Snapshot{
+		Queue:         core.QueueUsage{Length: 3, Peak: 70},
+		Stalls:        core.StallStatistics{Count: 2, Longest: 600 * time.Millisecond},
+		Refusals:      []core.LabelledCount{{Label: "no time left", Count: 5}},
+		AttemptsEnded: []core.LabelledCount{{Label: "reset", Count: 6}},
+		RetriesSent:   4,
+	})
+	_, body := send(t, addr, requestText("GET", "/status/metrics"))
+	for _, line := range []string{"app_queue_length 3", "app_queue_peak 70", "app_stalls 2", "app_stall_longest_ms 600",
+		"app_retries 4", `app_refusals{reason="no time left"} 5`, `app_attempts_ended{status="reset"} 6`,
+		`app_closes{reason="duplicate message id"} 0`, "app_buffered_bytes 0"} {
+		if !strings.Contains(body, "\n"+line+"\n") {
+			t.Errorf("no line %q in\n%s", line, body)
+		}
+	}
+	for _, name := range []string{"resident_bytes", "peak_bytes", "heap_bytes", "goroutines", "descriptors"} {
+		if !strings.Contains(body, "\napp_process_"+name+" ") || strings.Contains(body, "\napp_process_"+name+" 0\n") {
+			t.Errorf("app_process_%s is missing or 0 in\n%s", name, body)
+		}
+	}
+}
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -98,9 +98,10 @@
 		c.closeOnFault(netio.CloseDuplicateID)
 	case code != "":
 		c.rejectMalformed(messageID, request.Class, code)
-	case len(c.openRequests) >= c.server.limits.OpenPerConn || c.server.budget.AboveHighWater():
-		c.server.core.CountAnswer(request.Class, core.Rejected)
-		_ = c.send(rpc.AppendErrorResponse(nil, messageID, rpc.CodeThrottled)) // send logs errors
+	case len(c.openRequests) >= c.server.limits.OpenPerConn:
+		c.reject(messageID, request.Class, core.RefusedTooManyOnConnection)
+	case c.server.budget.AboveHighWater():
+		c.reject(messageID, request.Class, core.RefusedMemory)
 	default:
 		id := c.server.core.NewID()
 		c.openRequests[messageID] = id
@@ -112,6 +113,13 @@
 	}
 }
 
+// reject answers a request that is not taken, and that may be sent again.
+func (c *conn) reject(messageID uint64, class string, reason core.RefusalReason) {
+	c.server.core.CountRefusal(reason)
+	c.server.core.CountAnswer(class, core.Rejected)
+	_ = c.send(rpc.AppendErrorResponse(nil, messageID, rpc.CodeThrottled)) // send logs errors
+}
+
 // rejectMalformed answers an invalid request with an error code. It closes the connection of a client that has sent too
 // many of them.
 func (c *conn) rejectMalformed(messageID uint64, class, code string) {
@@ -119,6 +127,7 @@
 		c.closeOnFault(netio.CloseTooManyBadRequests)
 		return
 	}
+	c.server.core.CountRefusal(core.RefusedMalformed)
 	c.server.core.CountAnswer(class, core.Failed)
 	_ = c.send(rpc.AppendErrorResponse(nil, messageID, code)) // send logs errors
 }
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -14,14 +14,15 @@
 
 var log = logging.For("msgpackrpc")
 
-// Core processes the requests that the front end submits. Post, NewID, EarliestArrival, Snapshot and DrainStage may be
-// called from any goroutine, the other methods only on the core's goroutine.
+// Core processes the requests that the front end submits. Post, NewID, EarliestArrival, Snapshot, DrainStage and
+// CountRefusal may be called from any goroutine, the other methods only on the core's goroutine.
 type Core interface {
 	Post(f func())
 	NewID() balancer.RequestID
 	EarliestArrival() time.Duration
 	Snapshot() *core.Snapshot
 	DrainStage() core.DrainStage
+	CountRefusal(reason core.RefusalReason)
 
 	Submit(id balancer.RequestID, q core.Request)
 	CancelRequest(id balancer.RequestID)
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -34,6 +34,7 @@
 func (fake *fakeCore) AbortRequest(balancer.RequestID)             {}
 func (fake *fakeCore) Submit(_ balancer.RequestID, q core.Request) { fake.submitted <- q }
 func (fake *fakeCore) CancelRequest(id balancer.RequestID)         { fake.cancelled <- id }
+func (fake *fakeCore) CountRefusal(core.RefusalReason)             {}
 func (fake *fakeCore) CountAnswer(string, core.Verdict)            { fake.counted.Add(1) }
 func (fake *fakeCore) Snapshot() *core.Snapshot {
 	return &core.Snapshot{Phase: core.Phase(fake.phase.Load())}
--- a/internal/netio/budget.go
+++ b/internal/netio/budget.go
@@ -37,3 +37,6 @@
 	b.add(-n)
 	return false
 }
+
+// Used returns the number of bytes that are counted now.
+func (b *Budget) Used() int64 { return b.used.Load() }
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -22,8 +22,8 @@
 // CloseAfterReplies closes the connection once its pending replies are sent: the handler gets no more input, and answers
 // the input that it already has. If no reply is pending, CloseAfterReplies does the same as CloseAfterWrites.
 func (c *Conn) CloseAfterReplies(reason CloseReason) {
-	c.logClose(reason)
 	c.mu.Lock()
+	wasOpen := c.state.acceptsInput()
 	wait := c.delivering || c.hasPendingReplies()
 	step := stepClose
 	if wait {
@@ -31,6 +31,9 @@
 	}
 	c.state = c.state.after(step)
 	c.mu.Unlock()
+	if wasOpen {
+		c.recordClose(reason)
+	}
 	if !wait {
 		c.CloseAfterWrites()
 	}
@@ -91,7 +94,7 @@
 // closeIfIdle closes the connection if it is idle.
 func (c *Conn) closeIfIdle(reason CloseReason, partial partialPolicy) {
 	if c.markClosingIfIdle(partial) {
-		c.logClose(reason)
+		c.recordClose(reason)
 		c.lingerClose()
 	}
 }
--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -3,38 +3,69 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 
 	"hillknot/internal/logging"
 )
 
-// CloseReason is the reason why this side closes a connection. It is logged at level debug.
-type CloseReason string
+// CloseReason is the reason why this side closes a connection. It is logged at level debug and counted.
+type CloseReason uint8
 
-// Reasons for a handler or a failed read to close a connection.
+// The reasons. The exported ones are those of a handler or of a failed read, and the next five those of a server.
 const (
-	CloseMalformedInput     CloseReason = "malformed input"
-	CloseInputEnded         CloseReason = "input ended, timed out or over the byte budget"
-	CloseDuplicateID        CloseReason = "duplicate message id"
-	CloseTooManyBadRequests CloseReason = "too many bad requests"
+	CloseMalformedInput CloseReason = iota
+	CloseInputEnded
+	CloseDuplicateID
+	CloseTooManyBadRequests
+	closeDraining
+	closeIdleTimeout
+	closeReadTimeout
+	closeEvicted
+	closeShutdown
+	closeWriteTimeout
+	closeTooMuchPending
+	closeReasonCount
 )
 
-// Reasons for a server to close a connection.
-const (
-	closeDraining    CloseReason = "draining"
-	closeIdleTimeout CloseReason = "idle timeout"
-	closeReadTimeout CloseReason = "message incomplete for too long"
-	closeEvicted     CloseReason = "evicted for a new connection"
-	closeShutdown    CloseReason = "server shutting down"
-)
+var closeReasonTexts = [closeReasonCount]string{
+	CloseMalformedInput:     "malformed input",
+	CloseInputEnded:         "input ended, timed out or over the byte budget",
+	CloseDuplicateID:        "duplicate message id",
+	CloseTooManyBadRequests: "too many bad requests",
+	closeDraining:           "draining",
+	closeIdleTimeout:        "idle timeout",
+	closeReadTimeout:        "message incomplete for too long",
+	closeEvicted:            "evicted for a new connection",
+	closeShutdown:           "server shutting down",
+	closeWriteTimeout:       "peer reads nothing of what is sent",
+	closeTooMuchPending:     "too many bytes wait to be written",
+}
 
-// Reasons that apply to accepted and dialed connections.
-const (
-	closeWriteTimeout CloseReason = "peer reads nothing of what is sent"
-)
+// String returns the reason as it is logged.
+func (r CloseReason) String() string { return closeReasonTexts[r] }
+
+// closeCounts counts the closes of this process by their reason.
+var closeCounts [closeReasonCount]atomic.Uint64
+
+// CloseCount says how many connections were closed for a reason.
+type CloseCount struct {
+	Reason CloseReason
+	Count  uint64
+}
+
+// CloseCounts returns how many connections this process has closed, by reason.
+func CloseCounts() []CloseCount {
+	counts := make([]CloseCount, closeReasonCount)
+	for i := range counts {
+		counts[i] = CloseCount{CloseReason(i), closeCounts[i].Load()}
+	}
+	return counts
+}
 
-// logClose logs the reason why the connection is closed, at level debug.
-func (c *Conn) logClose(reason CloseReason) {
+// recordClose logs the reason why the connection is closed, at level debug, and counts it.
+func (c *Conn) recordClose(reason CloseReason) {
+	closeCounts[reason].Add(1)
 	if log.Enabled(context.Background(), slog.LevelDebug) {
-		log.Debug("connection closing", logging.KeyRemote, c.transport.RemoteAddr(), logging.KeyReason, reason)
+		log.Debug("connection closing", logging.KeyRemote, c.transport.RemoteAddr(), logging.KeyReason, reason.String())
 	}
 }
--- a/internal/netio/evict.go
+++ b/internal/netio/evict.go
@@ -153,7 +153,7 @@
 		}
 		if !c.evicted.Swap(true) { // otherwise the connection has closed, or a concurrent call evicted it
 			s.slots.evicted.Add(1)
-			c.logClose(closeEvicted)
+			c.recordClose(closeEvicted)
 			c.Close()
 		}
 		return evictionDone
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -27,6 +27,7 @@
 		return ErrClosed
 	}
 	if c.queue.bytes > 0 && c.queue.bytes+len(b) > c.limits.MaxPendingBytes {
+		c.recordClose(closeTooMuchPending)
 		go c.Close() // in a goroutine, because closing calls back and locks c.mu
 		return ErrClosed
 	}
--- a/internal/netio/writewatch.go
+++ b/internal/netio/writewatch.go
@@ -74,7 +74,7 @@
 // than measured by the clock, so that time during which this process was suspended does not count.
 func (w *writeWatch) check() {
 	if w.stalled() {
-		w.conn.logClose(closeWriteTimeout)
+		w.conn.recordClose(closeWriteTimeout)
 		w.conn.Close()
 	}
 }
