--- a/cmd/hillknot-loadtest/main.go
+++ b/cmd/hillknot-loadtest/main.go
@@ -10,7 +10,8 @@
 
 func main() {
 	root := &cobra.Command{Use: "hillknot-loadtest", Short: "Run load and fault tests of hillknot on loopback", SilenceUsage: true}
-	root.AddCommand(clientsCommand(), budgetsCommand(), failoverCommand(), creditCommand(), scaleCommand(), soakCommand())
+	root.AddCommand(clientsCommand(), budgetsCommand(), failoverCommand(), creditCommand(), scaleCommand(), soakCommand(),
+		floodsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/hillknot-loadtest/single.go
+++ b/cmd/hillknot-loadtest/single.go
@@ -72,3 +72,18 @@
 	c.Flags().IntVar(&count, "seeds", count, "number of seeds")
 	return c
 }
+
+// floodsCommand returns the command that runs one router under floods and failing peers.
+func floodsCommand() *cobra.Command {
+	var settings loadtest.FloodSettings
+	c := &cobra.Command{
+		Use: "floods", Short: "Run a router under floods, judged by its memory, its end and its answers", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return loadtest.MeasureFloods(settings, cmd.OutOrStdout())
+		},
+	}
+	addRouterFlag(c, &settings.Program)
+	c.Flags().StringSliceVar(&settings.Kinds, "kinds", loadtest.FloodKinds(), "kinds of floods")
+	c.Flags().DurationVar(&settings.Length, "length", 4*time.Second, "length of each flood")
+	return c
+}
--- a/loadtest/fleet.go
+++ b/loadtest/fleet.go
@@ -34,6 +34,7 @@
 	KnownRouters   int  // number of routers in the zone according to the configuration of each router, itself included
 	OverloadFactor int  // a page cache that warms up may receive this multiple of its capacity
 	Sockets        int  // descriptors that a router may hold; 0: the default
+	MemoryMB       int  // memory that a router may use; 0: the default
 
 	Answer   func(cache int, request fakes.Request) fakes.Reply // nil: Backend answers
 	Operator func(router int, ip string) (string, error)        // returns the text of a router's operator's file; nil: no file
@@ -41,6 +42,9 @@
 	// them.
 	Address  func(cache int) string
 	LogLevel string // minimum level that routers log; empty: error
+
+	DiscoveryAddress string   // of the discovery service; empty: the fleet runs one
+	Log              *os.File // standard error of the first process of each router; nil: its log file
 }
 
 // independentFleet returns the options of a fleet whose routers do not know each other.
@@ -126,6 +130,7 @@
 		program:       program,
 		dir:           filepath.Join(f.dir, fmt.Sprint(number)),
 		logLevel:      f.options.LogLevel,
+		log:           f.options.Log,
 	}
 	if err := os.Mkdir(r.dir, 0o700); err != nil {
 		return nil, err
--- /dev/null
+++ b/loadtest/floodkinds.go
@@ -0,0 +1,65 @@
+package loadtest
+
+import (
+	"fmt"
+	"sync"
+)
+
+// floodKind is a kind of flood: what the peers of the router do, and what is started against it.
+type floodKind struct {
+	name       string
+	discovery  floodStream             // what the discovery service sends
+	cache      floodStream             // what page caches send, besides their answers
+	log        func() (logPipe, error) // takes the place of the router's log; nil: a file
+	mayLoseOwn bool                    // the flood breaks the protocol in a way that costs it its own answers
+	start      func(run *floodRun) *sync.WaitGroup
+}
+
+// startNothing is the start of a flood that comes from the peers of the router.
+func startNothing(*floodRun) *sync.WaitGroup { return &sync.WaitGroup{} }
+
+// floodKinds are all kinds of flood.
+var floodKinds = []floodKind{
+	{name: "one-client", start: startFloodClients(1, pageRequests, true)},
+	{name: "clients", start: startFloodClients(40, pageRequests, true)},
+	{name: "clients-unread", mayLoseOwn: true, start: startFloodClients(40, pageRequests, false)},
+	{name: "bodies", start: startFloodClients(40, bodyRequests, true)},
+	{name: "bodies-unread", mayLoseOwn: true, start: startFloodClients(40, bodyRequests, false)},
+	{name: "health-checks", start: startFloodClients(40, healthRequests, true)},
+	{name: "cancels", mayLoseOwn: true, start: startFloodClients(40, cancelNotifications, true)},
+	{name: "half-messages", mayLoseOwn: true, start: startHalfMessages(100)},
+	{name: "churn", mayLoseOwn: true, start: startChurn(20)},
+	{name: "stopped", start: startStoppedLoad(80)},
+	{name: "discovery-events", discovery: purgeEvents, start: startNothing},
+	{name: "discovery-comments", discovery: comments, start: startNothing},
+	{name: "discovery-lists", discovery: completeLists, start: startNothing},
+	{name: "discovery-line", discovery: endlessLine, start: startNothing},
+	{name: "discovery-reconnects", discovery: immediateEnds, start: startNothing},
+	{name: "cache-answers", cache: unaskedAnswers, start: startNothing},
+	{name: "cache-bodies", cache: unaskedBodies, start: startNothing},
+	{name: "cache-line", cache: endlessLine, start: startNothing},
+	{name: "dns-udp", mayLoseOwn: true, start: startDNSDatagrams(8)},
+	{name: "dns-tcp", mayLoseOwn: true, start: startDNSConnections(20)},
+	{name: "admin", mayLoseOwn: true, start: startAdminRequests(32)},
+	{name: "agent-check", mayLoseOwn: true, start: startAgentChecks(32)},
+	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseOwn: true},
+	{name: "log-closed", log: closedPipe, start: startMalformed(4), mayLoseOwn: true},
+}
+
+// FloodKinds returns the names of all kinds of flood.
+func FloodKinds() (names []string) {
+	for _, kind := range floodKinds {
+		names = append(names, kind.name)
+	}
+	return names
+}
+
+// floodKindNamed returns a kind of flood by its name.
+func floodKindNamed(name string) (floodKind, error) {
+	for _, kind := range floodKinds {
+		if kind.name == name {
+			return kind, nil
+		}
+	}
+	return floodKind{}, fmt.Errorf("no kind of flood is called %q", name)
+}
--- a/loadtest/router.go
+++ b/loadtest/router.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,7 @@
 	operatorPath string   // empty: it has no operator's file
 	logLevel     string   // minimum level that it logs; empty: error
 	env          []string // environment of its next process, in addition to that of this process
+	log          *os.File // standard error of its next process; nil: its log file
 
 	process *exec.Cmd
 }
@@ -57,18 +59,26 @@
 	}
 	r.process = exec.Command(r.program, args...)
 	r.process.Env = append(append(os.Environ(), "TMPDIR="+r.dir), r.env...)
-	logFile, err := os.OpenFile(r.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	stderr, err := r.stderr()
 	if err != nil {
 		return err
 	}
-	defer logFile.Close()
-	r.process.Stderr = logFile
+	defer stderr.Close()
+	r.process.Stderr = stderr
 	if err := r.process.Start(); err != nil {
 		return err
 	}
 	return r.waitUntilAccepting()
 }
 
+// stderr opens the standard error of the next process.
+func (r *Router) stderr() (*os.File, error) {
+	if r.log != nil {
+		return r.log, nil
+	}
+	return os.OpenFile(r.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
 func (r *Router) logPath() string { return filepath.Join(r.dir, routerLogFileName) }
 
 // waitUntilAccepting waits until the router accepts a connection. The error contains the log of the router.
@@ -111,6 +121,9 @@
 	return r.Start()
 }
 
+// addressOf returns the address of a port of the router.
+func (r *Router) addressOf(port int) string { return net.JoinHostPort(r.ipAddress, strconv.Itoa(port)) }
+
 // metrics returns the metrics that the router exports, or an empty string if it does not answer.
 func (r *Router) metrics() string {
 	client := http.Client{Timeout: metricsTimeout}
--- a/loadtest/routerconfig.go
+++ b/loadtest/routerconfig.go
@@ -1,6 +1,7 @@
 package loadtest
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 )
@@ -31,7 +32,8 @@
 
 // routerLimits holds the limits of a router's machine. A limit of 0 has its default.
 type routerLimits struct {
-	Sockets int `json:"sockets,omitempty"` // descriptors
+	Sockets  int `json:"sockets,omitempty"` // descriptors
+	MemoryMB int `json:"memory_mb,omitempty"`
 }
 
 // knownEvents are the events of the discovery service that a router has at its start.
@@ -96,11 +98,11 @@
 	return json.Marshal(routerConfig{
 		Name:      r.name,
 		Listen:    r.ListenAddress,
-		Discovery: f.discovery.Addr(),
+		Discovery: cmp.Or(f.options.DiscoveryAddress, f.discovery.Addr()),
 		Known: knownEvents{Position: 1, Events: []knownEvent{
 			{Position: 1, Endpoints: endpointList{Reset: true, Endpoints: endpoints}},
 		}},
-		Limits: routerLimits{Sockets: f.options.Sockets},
+		Limits: routerLimits{Sockets: f.options.Sockets, MemoryMB: f.options.MemoryMB},
 		Settings: routerSettings{
 			Locality: zoneEdge,
 			Zones:    []string{zoneHub, zoneEdge},
--- /dev/null
+++ b/loadtest/steadyclient.go
@@ -0,0 +1,168 @@
+package loadtest
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"hillknot/internal/rpc"
+)
+
+const (
+	steadyInterval    = 20 * time.Millisecond // between two requests
+	steadyTimeout     = 1500 * time.Millisecond
+	steadyTolerance   = 500 * time.Millisecond // an answer may come this long after the timeout, and only earns nothing
+	steadyMaxInFlight = 16
+	steadyItems       = 50
+	steadyDialTimeout = 2 * time.Second
+)
+
+// steadyResult counts the outcomes of the requests of a client that keeps to the protocol.
+type steadyResult struct {
+	sent, served, refused, failed int
+	late                          int // answered later than timeout and tolerance allow
+	lost                          int // without an answer
+	answeredTwice                 int
+}
+
+func (r steadyResult) answered() int { return r.served + r.refused + r.failed }
+
+// steadyClient sends one request after another over one connection, and connects again when the router closes it.
+type steadyClient struct {
+	address string
+	stopped chan struct{}
+	sender  sync.WaitGroup
+
+	mu       sync.Mutex
+	inFlight map[uint64]time.Time // by message id: when the request was sent
+	result   steadyResult
+}
+
+// startSteadyClient starts to send. The caller ends the client with stop.
+func startSteadyClient(address string) *steadyClient {
+	c := &steadyClient{address: address, stopped: make(chan struct{}), inFlight: map[uint64]time.Time{}}
+	c.sender.Go(c.run)
+	return c
+}
+
+// stop stops sending, waits for the answers that are due and returns the counts.
+func (c *steadyClient) stop() steadyResult {
+	close(c.stopped)
+	c.sender.Wait()
+	return c.result
+}
+
+// run uses one connection after another until the client is stopped. A router that does not accept has ended.
+func (c *steadyClient) run() {
+	for id := uint64(1); ; {
+		conn, err := net.DialTimeout("tcp", c.address, steadyDialTimeout)
+		if err == nil {
+			id = c.use(conn, id)
+		}
+		select {
+		case <-c.stopped:
+			return
+		case <-time.After(steadyInterval):
+		}
+	}
+}
+
+// use sends requests on a connection until it ends or the client is stopped. It returns the next message id.
+func (c *steadyClient) use(conn net.Conn, id uint64) uint64 {
+	ended := make(chan time.Time, 1)
+	go func() {
+		readResponses(conn, c.record)
+		ended <- time.Now()
+	}()
+	ticker := time.NewTicker(steadyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case at := <-ended:
+			_ = conn.Close() // the router has closed it
+			c.finish(at)
+			return id
+		case <-c.stopped:
+			c.awaitAnswers(ended)
+			_ = conn.Close() // no further answer is expected
+			return id
+		case <-ticker.C:
+			if c.begin(id) {
+				_, _ = conn.Write(rpc.AppendRequest(nil, id, &rpc.Request{Method: classPage, Txn: id, Item: id % steadyItems,
+					TimeoutMillis: steadyTimeout.Milliseconds()})) // the reader notices the end of the connection
+				id++
+			}
+		}
+	}
+}
+
+// begin records that a request is sent, unless too many are in flight.
+func (c *steadyClient) begin(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.inFlight) >= steadyMaxInFlight {
+		return false
+	}
+	c.inFlight[id] = time.Now()
+	c.result.sent++
+	return true
+}
+
+// record counts an answer.
+func (c *steadyClient) record(header rpc.ResponseHeader) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent, known := c.inFlight[header.ID]
+	if !known {
+		c.result.answeredTwice++
+		return
+	}
+	delete(c.inFlight, header.ID)
+	if time.Since(sent) > steadyTimeout+steadyTolerance {
+		c.result.late++
+	}
+	switch err := responseError(header); {
+	case err == nil:
+		c.result.served++
+	case errors.Is(err, errRejected):
+		c.result.refused++
+	default:
+		c.result.failed++
+	}
+}
+
+// steadyCrossing is how long before the end of a connection a request may have been sent to count as crossing that end.
+const steadyCrossing = 50 * time.Millisecond
+
+// finish counts the requests that were in flight on a connection that ended. A request that crossed the end is not lost, as the
+// client would send it again.
+func (c *steadyClient) finish(ended time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, sent := range c.inFlight {
+		if ended.Sub(sent) > steadyCrossing {
+			c.result.lost++
+		}
+	}
+	clear(c.inFlight)
+}
+
+// awaitAnswers waits for the answers that are due, and counts those that do not come as lost.
+func (c *steadyClient) awaitAnswers(ended <-chan time.Time) {
+	for end := time.Now().Add(steadyTimeout + steadyTolerance); time.Now().Before(end); time.Sleep(steadyInterval) {
+		select {
+		case at := <-ended:
+			c.finish(at)
+			return
+		default:
+		}
+		c.mu.Lock()
+		due := len(c.inFlight)
+		c.mu.Unlock()
+		if due == 0 {
+			return
+		}
+	}
+	c.finish(time.Now())
+}
