--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -25,6 +25,9 @@
 	// most, plus 0.7 s.
 	floodExitTimeout = 3700 * time.Millisecond
 
+	// floodConnectTime is how long after SIGTERM new connections come.
+	floodConnectTime = 400 * time.Millisecond
+
 	// floodExitGrace is how long MeasureFloods waits for a router that did not end in time before it kills it.
 	floodExitGrace = 6 * time.Second
 )
@@ -134,6 +137,7 @@
 	time.Sleep(settings.Length)
 
 	result := &floodResult{mayLoseOwn: kind.mayLoseOwn}
+	time.AfterFunc(floodConnectTime, steady.stopConnecting)
 	result.end(run)
 	close(run.stop)
 	flood.Wait()
--- a/loadtest/floodclients.go
+++ b/loadtest/floodclients.go
@@ -224,7 +224,7 @@
 
 // startHalfMessages returns the start of a flood of connections that each send half of a large message and stay.
 func startHalfMessages(conns int) func(*floodRun) *sync.WaitGroup {
-	return startConns(conns, func(run *floodRun, conn net.Conn) {
+	return startConns(conns, func(_ *floodRun, conn net.Conn) {
 		message, _ := bodyRequests(nil, 1, 1)
 		_, _ = conn.Write(message[:len(message)-1]) // the router ends the connection after a while
 		_, _ = io.Copy(io.Discard, conn)
@@ -233,7 +233,7 @@
 
 // startChurn returns the start of a flood of connections that send many requests and are reset at once.
 func startChurn(conns int) func(*floodRun) *sync.WaitGroup {
-	return startConns(conns, func(run *floodRun, conn net.Conn) {
+	return startConns(conns, func(_ *floodRun, conn net.Conn) {
 		var messages []byte
 		number := rand.Uint64N(1 << 20)
 		for id := uint64(1); id <= 64; id++ {
@@ -247,7 +247,7 @@
 
 // startMalformed returns the start of a flood of connections that send what is no message.
 func startMalformed(conns int) func(*floodRun) *sync.WaitGroup {
-	return startConns(conns, func(run *floodRun, conn net.Conn) {
+	return startConns(conns, func(_ *floodRun, conn net.Conn) {
 		_, _ = conn.Write([]byte("\xc1 nonsense")) // the router ends the connection
 		_ = conn.(*net.TCPConn).SetLinger(0)       // the close is a reset
 	})
@@ -402,7 +402,7 @@
 func startDNSConnections(conns int) func(*floodRun) *sync.WaitGroup {
 	return func(run *floodRun) *sync.WaitGroup {
 		address := run.router.addressOf(floodDNSPort)
-		return run.startConnsTo(address, conns, func(run *floodRun, conn net.Conn) {
+		return run.startConnsTo(address, conns, func(_ *floodRun, conn net.Conn) {
 			var queries []byte
 			for id := range uint16(1000) {
 				query := appendQuery(nil, id)
@@ -436,7 +436,7 @@
 func startAdminRequests(conns int) func(*floodRun) *sync.WaitGroup {
 	return func(run *floodRun) *sync.WaitGroup {
 		address := run.router.addressOf(adminPort)
-		return run.startConnsTo(address, conns, func(run *floodRun, conn net.Conn) {
+		return run.startConnsTo(address, conns, func(_ *floodRun, conn net.Conn) {
 			path := []string{"GET /status/metrics", "POST /active"}[rand.IntN(2)]
 			request := []byte(path + " HTTP/1.1\r\nHost: x\r\n\r\n")
 			for range 100 {
@@ -453,7 +453,7 @@
 func startAgentChecks(conns int) func(*floodRun) *sync.WaitGroup {
 	return func(run *floodRun) *sync.WaitGroup {
 		address := run.router.addressOf(floodAgentCheckPort)
-		return run.startConnsTo(address, conns, func(run *floodRun, conn net.Conn) {
+		return run.startConnsTo(address, conns, func(_ *floodRun, conn net.Conn) {
 			writeUntilError(conn, make([]byte, floodWriteBytes))
 		})
 	}
--- a/loadtest/steadyclient.go
+++ b/loadtest/steadyclient.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hillknot/internal/rpc"
@@ -32,6 +33,7 @@
 type steadyClient struct {
 	address string
 	stopped chan struct{}
+	settled atomic.Bool // the client opens no further connection
 	sender  sync.WaitGroup
 
 	mu       sync.Mutex
@@ -53,12 +55,16 @@
 	return c.result
 }
 
+// stopConnecting has the client open no further connection, as clients do soon after their router was told to end.
+func (c *steadyClient) stopConnecting() { c.settled.Store(true) }
+
 // run uses one connection after another until the client is stopped. A router that does not accept has ended.
 func (c *steadyClient) run() {
 	for id := uint64(1); ; {
-		conn, err := net.DialTimeout("tcp", c.address, steadyDialTimeout)
-		if err == nil {
-			id = c.use(conn, id)
+		if !c.settled.Load() {
+			if conn, err := net.DialTimeout("tcp", c.address, steadyDialTimeout); err == nil {
+				id = c.use(conn, id)
+			}
 		}
 		select {
 		case <-c.stopped:
