core: remove the timers of requests, attempts and queries that have ended

What callers saw: memory that grows with the rate of requests, not with the open ones; at ordinary rates it is small, with large bodies and short answers it is not. Cause: the heap of timers held each request, with its body and its connection, until its deadline, up to 3 s after its answer. A timer is now removed when what it is for has ended. Class: state that outlives its owner until a time-out. Related paths looked at: attempts and DNS queries (the same, mended here), the module's one scan timer (one at a time, well), recentRequests (two generations of 4,096, well), rejections held back for 250 ms (bounded by the orders open).

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -70,6 +70,7 @@
 	owner    *request
 	sentAt   time.Duration
 	deadline time.Duration
+	timeout  *timer // ends the attempt; nil: its request's deadline does
 	done     bool
 }
 
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -28,7 +28,7 @@
 	}
 	c.traceAttempt(a)
 	if a.deadline < r.deadline {
-		c.timers.add(timer{at: a.deadline, attempt: a})
+		a.timeout = c.timers.add(timer{at: a.deadline, attempt: a})
 	}
 	if status, detail := c.Permit(a); status != balancer.OK {
 		c.CompleteAttempt(a, AttemptResult{Status: status, Detail: detail})
@@ -94,6 +94,7 @@
 		return
 	}
 	a.done = true
+	c.timers.remove(a.timeout)
 	r := a.owner
 	r.attempt, r.attemptAwaitingPermission = nil, nil
 	if !r.mayHaveRun && !result.Status.NeverRan() {
@@ -112,7 +113,7 @@
 
 // serve answers a request with the result of its attempt.
 func (c *Core) serve(r *request, result AttemptResult) {
-	c.requests.remove(r)
+	c.removeRequest(r)
 	answer := Answer{Verdict: Served, Body: result.Body}
 	if result.NotModified {
 		answer = Answer{Verdict: NotModified}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -144,7 +144,7 @@
 		return failedAnswer, true
 	}
 	r.state, r.pendingRejection = requestRejectionPending, a
-	c.requests.add(r) // its deadline ends the wait as well
+	c.addRequest(r) // its deadline ends the wait as well
 	c.Schedule(c.iteration.now+c.limits.OrderReleaseDelay, func() {
 		if c.requests.isOpen(r) {
 			c.failPendingRejection(r)
@@ -157,7 +157,7 @@
 // rejection.
 func (c *Core) ReplicaReleased(txn string) {
 	if r := c.requests.withPendingRejection(txn); r != nil {
-		c.requests.remove(r)
+		c.removeRequest(r)
 		c.deliver(r, r.pendingRejection)
 	}
 }
@@ -174,7 +174,7 @@
 // runs it.
 func (c *Core) failPendingRejection(r *request) {
 	c.extensions.orders.StopWaiting(r.Txn)
-	c.requests.remove(r)
+	c.removeRequest(r)
 	c.deliver(r, failedAnswer)
 }
 
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -28,6 +28,7 @@
 	EndpointQuery
 	id       balancer.RequestID
 	deadline time.Duration
+	timeout  *timer
 }
 
 // Resolve takes a query. It rejects the query at once if too many are open.
@@ -38,7 +39,7 @@
 	}
 	pending := &query{EndpointQuery: q, id: c.NewID(), deadline: c.iteration.now + q.Timeout}
 	c.queries[pending.id] = pending
-	c.timers.add(timer{at: pending.deadline, query: pending})
+	pending.timeout = c.timers.add(timer{at: pending.deadline, query: pending})
 	c.startQuery(pending)
 }
 
@@ -86,6 +87,7 @@
 func (c *Core) completeQuery(id balancer.RequestID, result QueryResult) {
 	if q := c.queries[id]; q != nil {
 		delete(c.queries, id)
+		c.timers.remove(q.timeout)
 		q.Reply(result)
 	}
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -28,6 +28,7 @@
 	deadline       time.Duration // the router answers by then
 	clientDeadline time.Duration // the client stops waiting then; not before deadline
 
+	expiry          *timer        // comes at the deadline, while the request is open
 	attempt         *Attempt      // the attempt that is open; nil: none
 	mayHaveRun      bool          // an attempt may have run
 	mayHaveRunSince time.Duration // when the first attempt that may have run was sent
@@ -123,8 +124,7 @@
 		clientDeadline: clientDeadline,
 	}
 	c.traceRequest(r)
-	c.requests.add(r)
-	c.timers.add(timer{at: r.deadline, request: r})
+	c.addRequest(r)
 	if q.ResumesTxn != "" && r.policy.nonIdempotent {
 		c.claimOrder(r)
 		return
@@ -132,6 +132,18 @@
 	c.startRequest(r)
 }
 
+// addRequest adds a request to the open ones, until its deadline.
+func (c *Core) addRequest(r *request) {
+	c.requests.add(r)
+	r.expiry = c.timers.add(timer{at: r.deadline, request: r})
+}
+
+// removeRequest removes a request from the open ones.
+func (c *Core) removeRequest(r *request) {
+	c.requests.remove(r)
+	c.timers.remove(r.expiry)
+}
+
 // rejection returns a rejection that asks the client to stay away for as long as the settings allow.
 func (c *Core) rejection() Answer {
 	return Answer{Verdict: Rejected, RetryAfter: c.policy.maxRetryAfter}
@@ -169,7 +181,7 @@
 	if r == nil {
 		return
 	}
-	c.requests.remove(r)
+	c.removeRequest(r)
 	c.emit(balancer.ClientAborted{ID: r.id})
 	if r.attempt != nil {
 		c.abandonAttempt(r.attempt, balancer.Cancelled)
@@ -199,7 +211,8 @@
 	for _, r := range c.requests.open {
 		if r.deadline > latest {
 			r.deadline = latest
-			c.timers.add(timer{at: r.deadline, request: r})
+			c.timers.remove(r.expiry)
+			r.expiry = c.timers.add(timer{at: r.deadline, request: r})
 		}
 	}
 }
@@ -236,7 +249,7 @@
 	if r == nil || r.state == requestRejectionPending {
 		return
 	}
-	c.requests.remove(r)
+	c.removeRequest(r)
 	if r.attempt != nil {
 		c.abandonAttempt(r.attempt, balancer.Cancelled)
 	}
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -135,3 +135,19 @@
 		}
 	}
 }
+
+// Requests and attempts that have ended are not kept in memory by their timers until these are due.
+func TestEndedRequestsLeaveNoTimers(t *testing.T) {
+	h := newHarness(t)
+	idle := len(h.core.timers)
+	for range 50 {
+		h.submit("page", 3*second)
+		h.finish(h.outstanding[0], AttemptResult{Status: balancer.OK})
+		cancelled := h.submit("page", 3*second)
+		h.core.CancelRequest(cancelled)
+		h.core.RunOnce()
+	}
+	if got := len(h.core.timers) - idle; got > 2 { // the module's own timer, and that of the log
+		t.Errorf("%d timers are left after 100 requests that have ended", got)
+	}
+}
