balancer: look for expired purges only once the oldest one has expired

What callers saw: answers that come late while many purges arrive. Cause: each purge looked at all remembered ones, up to 4,096, for expired ones. The table now knows its oldest entry and is searched only when that has expired; what it remembers is the same, so decisions are. Class: work by the size of a table for each event.

--- a/balancer/purges.go
+++ b/balancer/purges.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 // purgeTable remembers purges until no older copy can be left anywhere.
 type purgeTable struct {
 	purgedAt map[purgeKey]time.Duration
+	oldest   time.Duration // no purge in purgedAt is older; valid while there is one
 	floor    time.Duration // copies older than this count as purged; raised by purges that the full table can't hold
 }
 
@@ -24,17 +26,32 @@
 	if len(t.purgedAt) >= maxPurges {
 		t.floor = max(t.floor, at)
 	} else {
+		if len(t.purgedAt) == 0 || at < t.oldest {
+			t.oldest = at
+		}
 		t.purgedAt[k] = max(t.purgedAt[k], at)
 	}
 }
 
+// deleteExpired deletes the purges that have expired. It looks at them only once the oldest one has.
+func (t *purgeTable) deleteExpired(expired func(at time.Duration) bool) {
+	if len(t.purgedAt) == 0 || !expired(t.oldest) {
+		return
+	}
+	maps.DeleteFunc(t.purgedAt, func(_ purgeKey, at time.Duration) bool { return expired(at) })
+	t.oldest = math.MaxInt64
+	for _, at := range t.purgedAt {
+		t.oldest = min(t.oldest, at)
+	}
+}
+
 // latest returns the time of the latest purge of an object, by itself or with its group, or 0 if there was none.
 func (t *purgeTable) latest(object, group uint64) time.Duration {
 	return max(t.purgedAt[purgeKey{false, object}], t.purgedAt[purgeKey{true, group}], t.floor)
 }
 
 func (b *Balancer) handlePurge(ev Purge) {
-	maps.DeleteFunc(b.purges.purgedAt, func(_ purgeKey, at time.Duration) bool { return b.purgeExpired(at) })
+	b.purges.deleteExpired(b.purgeExpired)
 	k := purgeKey{ev.ByGroup, ev.Object}
 	if ev.ByGroup {
 		k.id = ev.Group
