handover: export the state to a successor in a goroutine of its own

Consume waited up to half of the hand-over's time-out for the core. Closed may now run before the stage is counted; the counts add up in either order.

--- a/internal/handover/successor.go
+++ b/internal/handover/successor.go
@@ -40,16 +40,24 @@
 		return s.conn.Send(appendMessage(nil, kindAt, strconv.AppendInt(nil, position, 10)))
 	case string(m.kind) == kindReady && s.stage == SuccessorStarting:
 		s.stage = SuccessorReady
-		state := encode(s.listener.process.State())
-		if len(state) > s.listener.limits.HandoverStateBytes {
-			state = nil // the successor can't read a state over the limit, and starts without one
-		}
-		s.listener.adjustCounts(0, 1)
-		return s.conn.Send(appendMessage(nil, kindState, state))
+		s.listener.goroutines.Go(s.handOver) // State may wait for the core
+		return nil
 	}
 	return errMalformed
 }
 
+// handOver sends the state of the process to a successor that is ready. It closes the connection if that fails.
+func (s *successor) handOver() {
+	state := encode(s.listener.process.State())
+	if len(state) > s.listener.limits.HandoverStateBytes {
+		state = nil // the successor can't read a state over the limit, and starts without one
+	}
+	s.listener.adjustCounts(0, 1)
+	if err := s.conn.Send(appendMessage(nil, kindState, state)); err != nil {
+		s.conn.Close()
+	}
+}
+
 // Closed implements netio.Handler. It is called when the successor has ended. A ready successor listened on the path in
 // place of this process, which then listens there again.
 func (s *successor) Closed() {
