discovery: bound the events that wait to be applied, and don't sleep while reading

What callers saw: memory over the limit, and no answers, while discovery sends faster than the core applies. Cause: each event was a call in the core's queue, without a bound; and in a long burst the reader slept up to 25 ms while netpoll read on without a limit.

Events now go through a queue: in a long burst they are posted together every 25 ms, as before, but reading never waits. Once 8,192 entries wait to be applied, the connection is left, and the watcher calls again, from the latest event that it took, when half of them are applied: nothing is lost, and the rest waits at the service. Class: a queue whose reader is slower than its writer.

--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"hillknot/internal/clock"
 	"hillknot/internal/logging"
@@ -13,7 +12,6 @@
 type connection struct {
 	watcher  *Watcher
 	conn     *netio.Conn
-	pacer    pacer
 	response response
 	parser   eventParser
 	received chan struct{} // holds a value once bytes have arrived since the channel was last read
@@ -27,7 +25,6 @@
 func (w *Watcher) connect(address string) (*connection, error) {
 	c := &connection{
 		watcher:  w,
-		pacer:    pacer{interval: w.limits.DiscoveryReadInterval},
 		received: make(chan struct{}, 1),
 		closed:   make(chan struct{}),
 	}
@@ -58,10 +55,10 @@
 	case c.received <- struct{}{}:
 	default: // watch has not taken the previous value yet
 	}
-	c.pacer.pause()
 	readAt := clock.Now()
 	complete := !c.conn.HasUnreadInputBeyond(len(buf))
 	used, err = c.response.consume(buf)
+	c.watcher.queue.flushPaced()
 	if err != nil {
 		log.Warn("discovery stream unreadable", logging.KeyError, err)
 	}
@@ -82,30 +79,3 @@
 	}
 	return c.watcher.receive(e, parseErr)
 }
-
-// maxBurst is how many reads of a burst are consumed without a pause. Reads belong to a burst while each follows the
-// previous one within pacer.interval.
-const maxBurst = 16
-
-// pacer delays the reads of a long burst, so that several events are consumed in one read: a release publishes thousands
-// of changes, and each event consumed separately would wake the whole router. The first read after a quiet interval is
-// never delayed.
-type pacer struct {
-	interval time.Duration // minimum between two reads of a long burst
-	last     time.Duration // reading of package clock at the latest read
-	burst    int           // reads of the current burst so far, up to maxBurst
-}
-
-// pause waits until the next input may be consumed.
-func (p *pacer) pause() {
-	elapsed := clock.Now() - p.last
-	switch {
-	case elapsed >= p.interval:
-		p.burst = 0
-	case p.burst < maxBurst:
-		p.burst++
-	default:
-		time.Sleep(p.interval - elapsed)
-	}
-	p.last = clock.Now()
-}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -34,8 +34,8 @@
 
 // Watcher watches one address of the discovery service at a time. Its methods may be called from any goroutine.
 type Watcher struct {
-	handler EventHandler
-	limits  config.Limits
+	limits config.Limits
+	queue  eventQueue
 
 	mu       sync.Mutex
 	target   target
@@ -60,14 +60,15 @@
 		return nil, err
 	}
 	w := &Watcher{
-		handler:  handler,
 		limits:   limits,
+		queue:    eventQueue{handler: handler, pacer: pacer{interval: limits.DiscoveryReadInterval}},
 		target:   target{address: address, changed: make(chan struct{})},
 		delivery: deliveryState{advanced: make(chan struct{})},
 	}
 	for _, e := range events {
 		w.deliver(e)
 	}
+	w.queue.flush()
 	w.delivery.last = max(last, w.delivery.last)
 	w.caughtUpAt = clock.Now() // the events of start may have any age; all others are published from now on
 	return w, nil
@@ -90,6 +91,7 @@
 		last, advanced := w.delivery.last, w.delivery.advanced
 		w.mu.Unlock()
 		if last >= position {
+			w.queue.flush()
 			return true
 		}
 		select {
@@ -120,7 +122,7 @@
 	c := w.current
 	caughtUp := c != nil && c.caughtUp
 	w.mu.Unlock()
-	return !caughtUp || c.conn.HasUnreadInput()
+	return !caughtUp || c.conn.HasUnreadInput() || w.queue.isWaiting()
 }
 
 // Run watches until stop is closed, and returns after its connection is closed. It may be called once. It connects again
@@ -148,7 +150,22 @@
 			retry.reset()
 		case <-time.After(wait):
 		}
+		if !w.awaitRoom(stop) {
+			return
+		}
+	}
+}
+
+// awaitRoom waits until the handler has applied most of the events that were delivered. It returns false if stop is closed.
+func (w *Watcher) awaitRoom(stop <-chan struct{}) bool {
+	for !w.queue.hasRoom() {
+		select {
+		case <-stop:
+			return false
+		case <-time.After(w.limits.DiscoveryBackoffMin):
+		}
 	}
+	return true
 }
 
 // resumePoint returns the address to connect to, and the position of the latest delivered event.
@@ -218,12 +235,15 @@
 }
 
 // receive delivers, drops or skips an event; parseErr is set if the event could not be parsed. It returns a
-// *missingEventError if the connection must end, so that the next one requests the event again.
+// *missingEventError or errTooManyUnapplied if the connection must end, so that the next one requests the event again.
 func (w *Watcher) receive(e event, parseErr error) error {
 	w.mu.Lock()
 	last := w.delivery.last
 	action := w.delivery.decide(e.position, parseErr == nil)
 	w.mu.Unlock()
+	if w.queue.isFull() {
+		return errTooManyUnapplied
+	}
 	switch action {
 	case deliverEvent:
 	case dropDuplicate:
@@ -238,7 +258,7 @@
 	return nil
 }
 
-// deliver posts an event to the handler unless the event was delivered before: an old connection may still receive an event
+// deliver queues an event for the handler unless the event was delivered before: an old connection may still receive an event
 // that the new one has received. The first event holds the complete list, also where it does not say so.
 func (w *Watcher) deliver(e event) {
 	w.mu.Lock()
@@ -251,5 +271,5 @@
 	}
 	e.convertStamps(clock.Now(), clock.Wall(), w.caughtUpAt)
 	w.delivery.advance(e.position)
-	w.handler.PostWatchEvent(func() { e.apply(w.handler) })
+	w.queue.add(e)
 }
