netio: read a connection only as fast as its handler works, and own its panics

What callers saw: a process that passes its memory limit, answers late or never, looks silent to itself, and is still there 6 s after SIGTERM. Cause: netpoll reads whatever has arrived into a buffer without a limit, in its poller, and runs the handler elsewhere; with one processor the poller reads up to 10 ms on before the handler gets a turn.

netpoll lets its user run its tasks (Config.Runner). The new runner makes the poller wait until a task has consumed what was read, so a connection holds one read, of a bounded receive buffer, and the rest stays in the sender's socket. For that no handler waits any more: an incomplete message is kept in a buffer of the connection, counted in the budget, with a timer. Netpoll's cleanup of a connection waits for the poller, so a task that closes its connection lets the poller go on; the next task waits for its end, else connections are accepted faster than closed. A dialed peer that sends before it was asked is refused, as netpoll reads unbounded until its callback is set.

Found on the way: netpoll's goroutine pool swallowed panics of handlers without a count; they are logged, counted, and end their connection only.

--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -8,8 +8,6 @@
 	"runtime"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"hillknot/internal/clock"
 	"hillknot/internal/config"
 	"hillknot/internal/core"
@@ -106,9 +104,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the platform gives a router one processor core
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: os.Stderr}); err != nil {
-		return fmt.Errorf("configure netpoll: %w", err)
-	}
 	if err := r.awaitStart(); err != nil {
 		return err
 	}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -95,6 +95,7 @@
 	// a connection that was idle for 4 s. The router closes it later, so that its close seldom crosses a request.
 	l.Client = ConnLimits{
 		MaxPendingBytes: 8 * mB,
+		ReceiveBuffer:   32 * kB,
 		ReadTimeout:     2500 * ms,
 		MessageTimeout:  2500 * ms,
 		WriteTimeout:    5 * time.Second,
@@ -103,10 +104,11 @@
 		LingerTimeout:   250 * ms,
 	}
 	// A response arrives in one piece or nearly so: a pause of a second inside a response means that it was cut off.
-	l.Upstream = ConnLimits{MaxPendingBytes: 1 * mB, ReadTimeout: time.Second, WriteTimeout: 50 * ms}
-	l.Discovery = ConnLimits{MaxPendingBytes: 64 * kB, ReadTimeout: 2 * time.Second, WriteTimeout: time.Second}
+	l.Upstream = ConnLimits{MaxPendingBytes: 1 * mB, ReceiveBuffer: 64 * kB, ReadTimeout: time.Second, WriteTimeout: 50 * ms}
+	l.Discovery = ConnLimits{MaxPendingBytes: 64 * kB, ReceiveBuffer: 64 * kB, ReadTimeout: 2 * time.Second, WriteTimeout: time.Second}
 	shortCall := ConnLimits{
 		MaxPendingBytes: 64 * kB,
+		ReceiveBuffer:   16 * kB,
 		ReadTimeout:     time.Second,
 		MessageTimeout:  time.Second,
 		WriteTimeout:    time.Second,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -85,6 +85,7 @@
 // ConnLimits bounds the reads and writes of one connection.
 type ConnLimits struct {
 	MaxPendingBytes int           // bytes that may wait to be written
+	ReceiveBuffer   int           // bytes that the system buffers of what was not read yet; 0: its default
 	ReadTimeout     time.Duration // maximum wait for the next bytes of an incomplete message
 	MessageTimeout  time.Duration // from the first byte of a message to its last; 0: unbounded while bytes arrive
 	WriteTimeout    time.Duration // maximum for which a write may block
--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -56,7 +56,7 @@
 	default: // watch has not taken the previous value yet
 	}
 	readAt := clock.Now()
-	complete := !c.conn.HasUnreadInputBeyond(len(buf))
+	complete := !c.conn.HasUnreadInput()
 	used, err = c.response.consume(buf)
 	c.watcher.queue.flushPaced()
 	if err != nil {
--- a/internal/frontend/admin/resourcemetrics.go
+++ b/internal/frontend/admin/resourcemetrics.go
@@ -38,6 +38,7 @@
 		{"queue_peak", "The most calls that waited for the event loop.", "gauge", int64(snapshot.Queue.Peak)},
 		{"stalls", "Stalls of the event loop.", "counter", int64(snapshot.Stalls.Count)},
 		{"stall_longest_ms", "The longest stall of the event loop, in milliseconds.", "gauge", snapshot.Stalls.Longest.Milliseconds()},
+		{"handler_panics", "Panics of connection handlers; each ended one connection.", "counter", int64(netio.HandlerPanics())},
 		{"retries", "Attempts after the first one of their request.", "counter", int64(snapshot.RetriesSent)},
 	} {
 		b = fmt.Appendf(appendHeader(b, metric.name, metric.help, metric.kind), "app_%s %d\n", metric.name, metric.value)
--- a/internal/netio/accept.go
+++ b/internal/netio/accept.go
@@ -30,6 +30,7 @@
 	tcp         bool
 	accept      acceptFunc
 	state       atomicAcceptState
+	setup       atomic.Int32 // connections that are being accepted and that their server does not know yet
 	failures    atomic.Int32 // consecutive failed calls of accept(2)
 	pausesInRow atomic.Int32
 
@@ -93,8 +94,10 @@
 		runtime.Gosched() // lets the goroutines run that close connections
 		return nil, nil
 	}
+	l.setup.Add(1) // until Server.onPrepare knows the connection
 	fd, peer, err := l.acceptUnlessClosed()
 	if err != nil {
+		l.setup.Add(-1)
 		return nil, l.handleAcceptError(err)
 	}
 	l.failures.Store(0)
@@ -105,6 +108,9 @@
 	return acceptedConn{fd: fd, local: l.Addr(), remote: peerAddr(peer)}, nil
 }
 
+// isAccepting reports whether a connection has left the queue of the socket and is not known to its server yet.
+func (l *pausableListener) isAccepting() bool { return l.setup.Load() > 0 }
+
 // acceptUnlessClosed calls accept(2), or returns net.ErrClosed if the listener is closed.
 func (l *pausableListener) acceptUnlessClosed() (fd int, peer syscall.Sockaddr, err error) {
 	l.mu.Lock()
--- a/internal/netio/budget.go
+++ b/internal/netio/budget.go
@@ -9,7 +9,7 @@
 var ErrBudgetExceeded = errors.New("shared byte budget exceeded")
 
 // Budget bounds the total number of bytes that connections buffer: those of incomplete incoming messages and those of
-// messages that wait to be written. Its methods may be called from any goroutine.
+// messages that wait to be written, and those of the requests and answers that a front end or the upstream counts. Its methods may be called from any goroutine.
 type Budget struct{ limit, used atomic.Int64 }
 
 // NewBudget returns a budget of limit bytes.
@@ -26,6 +26,12 @@
 // admitted. The last quarter is reserved for finishing the requests that were already admitted.
 func (b *Budget) AboveHighWater() bool { return b.used.Load() >= b.limit.Load()/4*3 }
 
+// Take counts n bytes if they fit within the limit, and reports whether they did. The caller gives them back with Release.
+func (b *Budget) Take(n int) bool { return b.take(n) }
+
+// Release stops counting n bytes.
+func (b *Budget) Release(n int) { b.add(-n) }
+
 // add counts n bytes regardless of the limit. A negative n releases bytes.
 func (b *Budget) add(n int) { b.used.Add(int64(n)) }
 
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -174,6 +174,12 @@
 // peer may close the connection at any time during a write, so flushMu serializes the two.
 func (c *Conn) transportClosed(netpoll.Connection) error {
 	c.closeOnce.Do(func() {
+		if c.task != nil {
+			c.task.release() // netpoll's cleanup, which follows, waits until the poller is done with the connection
+		}
+		c.partialTimer.end()
+		c.reserve(0) // read can't run any more
+		c.input.partial = nil
 		c.flushMu.Lock() // does not block for long: a write that waits for buffer space has already been woken
 		c.buffersFreed = true
 		c.flushMu.Unlock()
--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -17,6 +17,7 @@
 	CloseInputEnded
 	CloseDuplicateID
 	CloseTooManyBadRequests
+	CloseTooManyRefusals
 	closeDraining
 	closeIdleTimeout
 	closeReadTimeout
@@ -24,6 +25,7 @@
 	closeShutdown
 	closeWriteTimeout
 	closeTooMuchPending
+	closeInputFlood
 	closeReasonCount
 )
 
@@ -32,6 +34,7 @@
 	CloseInputEnded:         "input ended, timed out or over the byte budget",
 	CloseDuplicateID:        "duplicate message id",
 	CloseTooManyBadRequests: "too many bad requests",
+	CloseTooManyRefusals:    "too many refusals wait to be sent",
 	closeDraining:           "draining",
 	closeIdleTimeout:        "idle timeout",
 	closeReadTimeout:        "message incomplete for too long",
@@ -39,6 +42,7 @@
 	closeShutdown:           "server shutting down",
 	closeWriteTimeout:       "peer reads nothing of what is sent",
 	closeTooMuchPending:     "too many bytes wait to be written",
+	closeInputFlood:         "peer sent too much before it was asked",
 }
 
 // String returns the reason as it is logged.
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -31,6 +31,8 @@
 	// Consume gets all input that has not been consumed yet. It returns how many bytes it consumed, and how many bytes
 	// buf must hold at the next call (0: any number more than now). buf is valid only during the call. An error closes
 	// the connection once its pending replies are sent. Calls are never concurrent.
+	//
+	// Consume must not block: no other connection of this process is read meanwhile.
 	Consume(buf []byte) (used, needed int, err error)
 	// Closed is called once, as soon as Consume will not be called again, and at the latest after the connection has
 	// closed.
@@ -44,6 +46,9 @@
 // OpenHandler is a Handler whose Opened method is called once an accepted connection can be written to.
 type OpenHandler interface{ Opened() }
 
+// DrainHandler is a Handler whose Drained method is called, in any goroutine, whenever all that was sent has been written.
+type DrainHandler interface{ Drained() }
+
 // Conn is one connection. Its methods may be called from any goroutine, except that WriteSync must not be used on a
 // connection on which Send is used.
 type Conn struct {
@@ -51,6 +56,8 @@
 	handler   Handler
 	limits    config.ConnLimits
 	budget    *Budget
+	dialed    bool      // this side has opened the connection
+	task      *gateTask // the latest task that read input; only that task and the cleanup after it use it
 
 	mu                 sync.Mutex
 	state              connState
@@ -59,6 +66,7 @@
 	queue              sendQueue
 
 	input          inputProgress
+	partialTimer   partialTimer
 	lastActive     atomic.Int64 // reading of package clock when bytes were last received or written
 	pendingReplies atomic.Int32 // replies that the handler has not given yet
 	evicted        atomic.Bool  // the connection was evicted, or has closed
@@ -78,10 +86,11 @@
 	opened   bool // the transport can be written to; until then messages wait
 	writing  bool // a goroutine runs Conn.writeQueued
 	closed   bool // the transport has closed, and messages will not be written any more
+	// overflowed: too many bytes waited, and the connection is being closed
+	overflowed bool
 }
 
 func newConn(transport netpoll.Connection, limits config.ConnLimits, budget *Budget) *Conn {
-	_ = transport.SetReadTimeout(limits.ReadTimeout)   // only stores the value and returns nil
 	_ = transport.SetWriteTimeout(limits.WriteTimeout) // only stores the value and returns nil
 	c := &Conn{transport: transport, limits: limits, budget: budget}
 	c.lastActive.Store(int64(clock.Now()))
@@ -119,21 +128,43 @@
 	return now - time.Duration(c.lastActive.Load()), c.queue.bytes == 0 && c.pendingReplies.Load() == 0
 }
 
-// HasUnreadInput reports whether the socket or the read buffer holds bytes that the handler has not consumed. If the
-// system cannot report the bytes in the socket, none are assumed. A concurrent close may make a single result wrong.
-func (c *Conn) HasUnreadInput() bool { return c.HasUnreadInputBeyond(0) }
-
-// HasUnreadInputBeyond is HasUnreadInput for use within Consume by a handler that got n bytes. It reports whether more
-// than these n bytes have arrived.
-func (c *Conn) HasUnreadInputBeyond(n int) bool {
-	if fd, ok := c.socket(); ok {
-		if unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil && unread > 0 {
-			return true
-		}
+// HasUnreadInput reports whether bytes have arrived that were not passed to the handler yet. During a call of Consume, it
+// reports whether more than the handler has got have arrived. If the system cannot report the bytes that arrived, those that
+// netpoll has just read out of the socket and not put into its buffer yet are not seen. A concurrent close may make a single
+// result wrong.
+func (c *Conn) HasUnreadInput() bool {
+	if c.transport.Reader().Len() > 0 {
+		return true
+	}
+	fd, ok := c.socket()
+	if !ok {
+		return false
+	}
+	taken := c.input.taken.Load()
+	if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.Bytes_received > 0 {
+		return info.Bytes_received > taken+endOfStream(info)
+	}
+	unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+	return err == nil && unread > 0
+}
+
+// endOfStream returns how much the end of the peer's stream adds to the received bytes that the system reports.
+func endOfStream(info *unix.TCPInfo) uint64 {
+	switch info.State {
+	case tcpCloseWait, tcpLastAck, tcpClosing, tcpTimeWait:
+		return 1
 	}
-	return c.transport.Reader().Len() > n
+	return 0
 }
 
+// States of a TCP connection in which the peer's stream has ended, as the system numbers them.
+const (
+	tcpTimeWait  = 6
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
 // socket returns the descriptor of the connection, or false if the connection has closed.
 func (c *Conn) socket() (fd int, ok bool) {
 	if s, has := c.transport.(interface{ Fd() int }); has && c.transport.IsActive() {
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,63 +13,216 @@
 
 // inputProgress records how much input a connection has received and consumed.
 type inputProgress struct {
-	consumedOnce atomic.Bool  // the handler has consumed at least one byte
-	partialSince atomic.Int64 // reading of package clock when the incomplete message began; 0: no message is incomplete
-	unconsumed   int          // bytes that the handler has seen and left for its next call; Conn.mu guards it
-	discarded    int          // bytes that arrived after this side began to close; only the goroutine of Conn.read uses it
+	consumedOnce atomic.Bool   // the handler has consumed at least one byte
+	partialSince atomic.Int64  // reading of package clock when the incomplete message began; 0: no message is incomplete
+	taken        atomic.Uint64 // bytes that were taken out of netpoll's buffer, to be handled or discarded
+
+	// Only the goroutine of Conn.read uses these fields.
+	discarded int    // bytes that arrived after this side began to close
+	partial   []byte // the incomplete message
+	needed    int    // bytes that partial must hold before the handler is called again
+	reserved  int    // bytes that count against the budget for the incomplete message
 }
 
 // isPartial reports whether an incoming message is incomplete.
 func (p *inputProgress) isPartial() bool { return p.partialSince.Load() > 0 }
 
-// read passes input to the handler until the handler has consumed all of it, and waits for a bounded time for the rest of
-// an incomplete message. Netpoll calls read in a separate goroutine while there is input; calls are never concurrent.
+// maxRetainedPartial is the largest capacity, in bytes, of a buffer for incomplete messages that is used again.
+const maxRetainedPartial = 4 << 10
+
+// A connection on which more input waits is closed. The poller reads no more than two receive buffers at a time, unless it could
+// not wait for the handler: because the peer sent before the connection was set up, or the handler blocked.
+const (
+	maxReceiveBuffers = 4       // on a dialed connection, in receive buffers
+	maxUnreadInput    = 8 << 20 // on any connection, in bytes
+)
+
+// read passes input to the handler. Netpoll calls it in a separate goroutine while there is input; calls are never concurrent.
+// It never waits: an incomplete message is kept until its rest arrives.
 func (c *Conn) read(_ context.Context, transport netpoll.Connection) error {
-	reader, needed := transport.Reader(), 1
-	for needed > 0 {
-		buf, err := c.peek(reader, max(needed, reader.Len()))
-		if err != nil { // closed, over the budget, or the rest did not arrive in time
-			c.CloseAfterReplies(CloseInputEnded)
-			return nil
-		}
-		if !c.beginDelivery() { // the input arrived after this side began to close
-			c.discard(reader, len(buf))
-			return nil
-		}
-		needed = c.deliver(reader, buf)
+	if task := gate.claim(); task != nil {
+		c.task = task
+	}
+	reader := transport.Reader()
+	length := reader.Len()
+	if length == 0 {
+		return nil
+	}
+	if c.dialed && c.limits.ReceiveBuffer > 0 && length > maxReceiveBuffers*c.limits.ReceiveBuffer || length > maxUnreadInput {
+		c.recordClose(closeInputFlood)
+		c.Close()
+		return nil
+	}
+	received, err := reader.Next(length)
+	if err != nil { // the connection has closed
+		c.CloseAfterReplies(CloseInputEnded)
+		return nil
 	}
+	c.receive(received)
+	_ = reader.Release() // fails only after a close, which the next call reports
 	return nil
 }
 
-// deliver lets the handler consume input, and then continues a close that had to wait for the handler. It returns how
-// many bytes must be available for the next call, or 0 if there is nothing to wait for.
-func (c *Conn) deliver(reader netpoll.Reader, buf []byte) (next int) {
+// receive passes received bytes to the handler, or discards them if this side has begun to close.
+func (c *Conn) receive(received []byte) {
+	if !c.beginDelivery() {
+		c.input.taken.Add(uint64(len(received)))
+		c.discard(len(received))
+		return
+	}
+	c.input.taken.Add(uint64(len(received)))
 	c.lastActive.Store(int64(clock.Now()))
-	used, needed, err := c.handler.Consume(buf)
-	if err == nil {
-		err = reader.Skip(used)
+	buf := received
+	if len(c.input.partial) > 0 {
+		c.input.partial = append(c.input.partial, received...)
+		buf = c.input.partial
+	}
+	if len(buf) < c.input.needed {
+		c.endDelivery(0, len(buf), c.input.needed)
+		c.awaitRest()
+		return
 	}
+	c.deliver(buf)
+}
+
+// deliver lets the handler consume input, keeps what it leaves, and then continues a close that had to wait for the handler.
+func (c *Conn) deliver(buf []byte) {
+	used, needed, err := c.handler.Consume(buf)
 	remaining := len(buf) - used
-	messageBegan := c.endDelivery(used, remaining, needed)
+	if err == nil && !c.keepPartial(buf[used:], needed) {
+		c.endDelivery(used, remaining, needed)
+		c.CloseAfterReplies(CloseInputEnded)
+		return
+	}
+	c.endDelivery(used, remaining, needed)
 	if err != nil {
 		c.failInput()
-		return 0
+		return
 	}
-	c.flushIfAnswered()
 	if used > 0 {
 		c.input.consumedOnce.Store(true)
-		_ = reader.Release() // fails only after a close, which the next Peek reports
 	}
+	c.flushIfAnswered()
 	c.closeIdleIfRequested()
-	if remaining == 0 && needed <= 1 && reader.Len() == 0 {
-		_ = c.transport.SetReadTimeout(c.limits.ReadTimeout)
-		return 0
+	c.awaitRest()
+}
+
+// keepPartial keeps the bytes that the handler has left for its next call, for which it needs a number of bytes. It reports
+// whether the budget has room for them.
+func (c *Conn) keepPartial(rest []byte, needed int) bool {
+	if len(rest) == 0 && needed <= 1 {
+		needed = 0
+	}
+	if !c.reserve(max(len(rest), needed)) {
+		return false
+	}
+	c.input.needed = needed
+	isKept := len(rest) > 0 && len(rest) == len(c.input.partial) // nothing of the buffer was consumed
+	switch {
+	case isKept && cap(c.input.partial) >= needed:
+	case len(rest) == 0 && cap(c.input.partial) > maxRetainedPartial:
+		c.input.partial = nil
+	case cap(c.input.partial) >= max(len(rest), needed) && cap(c.input.partial) <= maxRetainedPartial:
+		c.input.partial = append(c.input.partial[:0], rest...)
+	case len(rest) > 0:
+		c.input.partial = append(make([]byte, 0, max(len(rest), needed)), rest...)
+	default:
+		c.input.partial = c.input.partial[:0]
+	}
+	return true
+}
+
+// reserve changes how many bytes count against the budget for the incomplete message. It reports whether the budget has room
+// for them; if not, none count any more.
+func (c *Conn) reserve(size int) bool {
+	c.budget.add(-c.input.reserved)
+	c.input.reserved = 0
+	if size > 0 && !c.budget.take(size) {
+		return false
 	}
+	c.input.reserved = size
+	return true
+}
+
+// awaitRest limits the time in which the rest of an incomplete message must arrive, or ends that limit if the message is
+// complete.
+func (c *Conn) awaitRest() {
+	began := time.Duration(c.input.partialSince.Load())
+	if began == 0 {
+		c.partialTimer.stop()
+		return
+	}
+	now := clock.Now()
+	deadline := now + c.limits.ReadTimeout
 	if c.limits.MessageTimeout > 0 { // a peer that sends single bytes must not keep a message incomplete forever
-		timeLeft := messageBegan + c.limits.MessageTimeout - clock.Now()
-		_ = c.transport.SetReadTimeout(max(min(c.limits.ReadTimeout, timeLeft), time.Millisecond))
+		deadline = min(deadline, began+c.limits.MessageTimeout)
+	}
+	c.partialTimer.start(deadline, max(deadline-now, time.Millisecond), c.closeIncomplete)
+}
+
+// unreadInputDelay is how long a message that is out of time waits for bytes of it that have arrived in the socket: a process
+// that was stopped finds its timers due before it has read its sockets.
+const unreadInputDelay = 10 * time.Millisecond
+
+// closeIncomplete closes the connection if the rest of its incomplete message has not arrived in time.
+func (c *Conn) closeIncomplete() {
+	now := clock.Now()
+	switch deadline := c.partialTimer.deadline(); {
+	case deadline == 0 || !c.input.isPartial():
+	case now < deadline:
+		c.partialTimer.start(deadline, deadline-now, c.closeIncomplete)
+	case c.HasUnreadInput() && !c.isEnding():
+		c.partialTimer.start(deadline, unreadInputDelay, c.closeIncomplete)
+	default:
+		c.CloseAfterReplies(CloseInputEnded)
+	}
+}
+
+// partialTimer calls a function when an incomplete message is out of time. Its methods may be called from any goroutine.
+type partialTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	due     time.Duration // reading of package clock; 0: the timer is stopped
+	expired bool          // the connection has closed, and no timer is started any more
+}
+
+// start sets the deadline, and has check called after a delay.
+func (t *partialTimer) start(deadline, delay time.Duration, check func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.expired:
+		return
+	case t.timer == nil:
+		t.timer = time.AfterFunc(delay, check)
+	default:
+		t.timer.Reset(delay)
 	}
-	return max(needed, remaining+1)
+	t.due = deadline
+}
+
+func (t *partialTimer) deadline() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.due
+}
+
+// stop ends the deadline. The timer may still call its function once, which then finds no deadline.
+func (t *partialTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.due != 0 {
+		t.timer.Stop()
+		t.due = 0
+	}
+}
+
+// end ends the timer for good.
+func (t *partialTimer) end() {
+	t.stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expired = true
 }
 
 // failInput closes a connection whose input is malformed, once the pending replies are sent.
@@ -81,13 +235,13 @@
 
 // discard drops n bytes of input that arrived after this side began to close. A peer that keeps sending is disconnected
 // after maxDiscard bytes. The limit is higher while replies to the peer are pending, so that they are rarely lost.
-func (c *Conn) discard(reader netpoll.Reader, n int) {
+func (c *Conn) discard(n int) {
 	limit := maxDiscard
 	if c.hasPendingReplies() {
 		limit = maxDiscardWithPendingReplies
 	}
 	c.input.discarded += n
-	if reader.Skip(n) != nil || reader.Release() != nil || c.input.discarded > limit {
+	if c.input.discarded > limit {
 		c.Close()
 	}
 }
@@ -101,34 +255,15 @@
 }
 
 // endDelivery records the result of Handler.Consume: how many bytes the handler used, how many remain, and how many it
-// needs for its next call. It returns when the incomplete message began as a reading of package clock, or 0 if no message
-// is incomplete.
-func (c *Conn) endDelivery(used, remaining, needed int) (messageBegan time.Duration) {
+// needs for its next call.
+func (c *Conn) endDelivery(used, remaining, needed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.delivering, c.input.unconsumed = false, remaining
+	c.delivering = false
 	switch partial := remaining > 0 || needed > 1; {
 	case !partial:
 		c.input.partialSince.Store(0)
 	case used > 0 || !c.input.isPartial():
 		c.input.partialSince.Store(int64(clock.Now()))
 	}
-	return time.Duration(c.input.partialSince.Load())
-}
-
-// peek waits for n bytes and returns them. While it waits, the bytes count against the budget. The read timeout restarts
-// whenever bytes arrive, so a long message may take longer than the timeout, unless its sender stops.
-func (c *Conn) peek(reader netpoll.Reader, n int) ([]byte, error) {
-	if n > reader.Len() {
-		if !c.budget.take(n) {
-			return nil, ErrBudgetExceeded
-		}
-		defer c.budget.add(-n)
-	}
-	for have := reader.Len(); have < n; have = reader.Len() {
-		if _, err := reader.Peek(have + 1); err != nil {
-			return nil, err
-		}
-	}
-	return reader.Peek(n)
 }
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -80,6 +80,9 @@
 func newServer(
 	ln net.Listener, maxConns int, limits config.ConnLimits, budget *Budget, newHandler func(*Conn) Handler,
 ) (*Server, error) {
+	if limits.ReceiveBuffer > 0 {
+		setReceiveBuffer(ln, limits.ReceiveBuffer) // connections inherit it
+	}
 	listener, err := newPausableListener(ln)
 	if err != nil {
 		_ = ln.Close() // the first error is the one to report
@@ -243,6 +246,7 @@
 // onPrepare is netpoll's callback for a new connection that is not registered yet. It acquires a slot for the connection
 // and creates its Conn.
 func (s *Server) onPrepare(transport netpoll.Connection) context.Context {
+	defer s.listener.setup.Add(-1)
 	if !s.acquireSlot() {
 		return context.Background() // onConnect closes the connection: netpoll has not set it up yet
 	}
--- a/internal/netio/sockets.go
+++ b/internal/netio/sockets.go
@@ -17,6 +17,18 @@
 	return net.Listen("tcp", addr)
 }
 
+// setReceiveBuffer sets the size of the receive buffer, in bytes, of the connections of a listener. If the system refuses, they
+// have its default size.
+func setReceiveBuffer(ln net.Listener, size int) {
+	conn, ok := ln.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) })
+	}
+}
+
 // network returns "unix" for an absolute path and "tcp" for an address with a port.
 func network(addr string) string {
 	if filepath.IsAbs(addr) {
--- a/internal/netio/unread.go
+++ b/internal/netio/unread.go
@@ -7,6 +7,9 @@
 // input, none is assumed.
 func (s *Server) HasUnreadInput() bool {
 	var sockets []unix.PollFd
+	if s.listener.isAccepting() {
+		return true
+	}
 	if s.listener.state.load() == accepting {
 		sockets = append(sockets, unix.PollFd{Fd: int32(s.listener.fd), Events: unix.POLLIN})
 	}
@@ -15,7 +18,7 @@
 		if c.isEnding() {
 			return true
 		}
-		if buffered = c.hasBufferedInput(); buffered {
+		if buffered = c.isDelivering() || c.HasUnreadInput(); buffered {
 			return false
 		}
 		if fd, ok := c.socket(); ok {
@@ -30,9 +33,9 @@
 	return err == nil && ready > 0
 }
 
-// hasBufferedInput reports whether bytes were read from the socket that the handler has not seen yet, or is consuming now.
-func (c *Conn) hasBufferedInput() bool {
+// isDelivering reports whether the handler is consuming input now.
+func (c *Conn) isDelivering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.delivering || c.transport.Reader().Len() > c.input.unconsumed
+	return c.delivering
 }
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -23,10 +23,11 @@
 func (c *Conn) Send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.queue.closed || !c.state.acceptsSends() {
+	if c.queue.closed || c.queue.overflowed || !c.state.acceptsSends() {
 		return ErrClosed
 	}
 	if c.queue.bytes > 0 && c.queue.bytes+len(b) > c.limits.MaxPendingBytes {
+		c.queue.overflowed = true
 		c.recordClose(closeTooMuchPending)
 		go c.Close() // in a goroutine, because closing calls back and locks c.mu
 		return ErrClosed
@@ -61,6 +62,7 @@
 			c.lingerClose()
 		}
 		if len(batch) == 0 {
+			c.notifyDrained()
 			c.closeIdleIfRequested()
 			return
 		}
@@ -75,6 +77,20 @@
 	}
 }
 
+// PendingBytes returns how many bytes wait to be written.
+func (c *Conn) PendingBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.bytes
+}
+
+// notifyDrained tells a DrainHandler that nothing waits to be written.
+func (c *Conn) notifyDrained() {
+	if h, ok := c.handler.(DrainHandler); ok {
+		h.Drained()
+	}
+}
+
 // flushWatched is like flush, but lets a slow peer take longer than the write timeout as long as it keeps reading.
 func (c *Conn) flushWatched(batch [][]byte) error {
 	if c.limits.WriteTimeout > 0 {
