msgpackrpc: bound the requests on their way to the core, and refuse the others as they are read

Cause: the core's queue took each message, with its body, before OpenPerConn was looked at.

Each request is now admitted as it is read: twice OpenPerConn on a connection, twice OpenRequests in all, and its body and 1 KB count against the budget until its answer. Others are refused on the spot with the same answer. Refusals that a client does not read wait as ranges of message ids (ids count up), so they take no room and are all sent when it reads; 1,024 ranges at most, then the connection ends once its replies are sent. Cancellations pass only for requests that are admitted, each once; a connection that closes without an admitted request costs the core nothing. Duplicate ids are found at the same place. From three quarters of the open requests on, connections with four or more get no further ones, so that floods leave room for others. CountAnswer may be called from any goroutine.

TestRequestAfterCloseIsNotSubmitted admits its request first now, as only then Closed has anything to tell the core; the check is the same. Test limits got OpenRequests, which was 0.

TestFloodIsRefusedWithoutTheCore: 4 calls in the core's queue at most, 30,000 of 30,000 requests answered once.

--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -34,7 +34,7 @@
 		Phase:           c.lifecycle.state.phase(),
 		DrainingSince:   c.lifecycle.drainingSince,
 		HasSuccessor:    c.lifecycle.successorReady,
-		ByClass:         append([]ClassCounts(nil), c.stats.byClass...),
+		ByClass:         c.stats.countsByClass(),
 		AttemptsWritten: c.stats.attemptsWritten,
 		RuleViolations:  c.stats.ruleViolations,
 		RetriesSent:     c.stats.retriesSent,
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -24,8 +24,8 @@
 
 // statistics holds the counters for operators and the latest snapshot.
 type statistics struct {
-	classIndex      map[string]int // by class name: index into byClass
-	byClass         []ClassCounts  // in the order of the settings; UnknownClass is last
+	classIndex      map[string]int  // by class name: index into byClass
+	byClass         []classCounters // in the order of the settings; UnknownClass is last
 	attemptsWritten uint64
 	ruleViolations  uint64
 	attemptsEnded   [attemptStatusCount]uint64        // by status
@@ -36,17 +36,33 @@
 
 func newStatistics(classes []balancer.Class) statistics {
 	index := make(map[string]int, len(classes))
-	counts := make([]ClassCounts, 0, len(classes)+1)
+	counters := make([]classCounters, len(classes)+1)
 	for i, class := range classes {
 		index[class.Name] = i
-		counts = append(counts, ClassCounts{Class: class.Name})
+		counters[i].class = class.Name
 	}
-	counts = append(counts, ClassCounts{Class: UnknownClass})
-	return statistics{classIndex: index, byClass: counts}
+	counters[len(classes)].class = UnknownClass
+	return statistics{classIndex: index, byClass: counters}
+}
+
+// classCounters holds the ClassCounts of one class. Any goroutine may add to the counters.
+type classCounters struct {
+	class                     string
+	success, overload, errors atomic.Uint64
+}
+
+// countsByClass returns the counted answers.
+func (s *statistics) countsByClass() []ClassCounts {
+	counts := make([]ClassCounts, len(s.byClass))
+	for i := range s.byClass {
+		c := &s.byClass[i]
+		counts[i] = ClassCounts{Class: c.class, Success: c.success.Load(), Overload: c.overload.Load(), Error: c.errors.Load()}
+	}
+	return counts
 }
 
 // CountAnswer counts an answer to a request of a class. The core counts the answers that it gives; a front end counts
-// the answers that it gives on its own.
+// the answers that it gives on its own. Any goroutine may call it.
 func (c *Core) CountAnswer(class string, verdict Verdict) {
 	i, known := c.stats.classIndex[class]
 	if !known {
@@ -54,11 +70,11 @@
 	}
 	switch counts := &c.stats.byClass[i]; verdict {
 	case Served, NotModified:
-		counts.Success++
+		counts.success.Add(1)
 	case Rejected:
-		counts.Overload++
+		counts.overload.Add(1)
 	default:
-		counts.Error++
+		counts.errors.Add(1)
 	}
 }
 
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"hillknot/balancer"
 	"hillknot/internal/core"
@@ -18,20 +19,37 @@
 	methodHealth = "health"
 )
 
+// errDuplicateID is returned for a request whose message id belongs to another one that has no answer yet.
+var errDuplicateID = errors.New("duplicate message id")
+
 // conn is a client's connection. Only the core's goroutine uses the fields from openRequests on.
 type conn struct {
 	server    *Server
 	transport *netio.Conn
+	admission *admission
+	refusals  refusals
+	closed    atomic.Bool // the connection has ended; no answer can be delivered
+
+	openRequests map[uint64]openRequest // requests without an answer, by the client's message id
+	badRequests  int                    // invalid requests so far
+}
 
-	openRequests map[uint64]balancer.RequestID // requests without an answer, by the client's message id
-	badRequests  int                           // invalid requests so far
-	closed       bool                          // the connection has ended; no answer can be delivered
+// openRequest is a request that the core has taken.
+type openRequest struct {
+	id     balancer.RequestID
+	ticket ticket
 }
 
 var _ netio.InputErrorHandler = (*conn)(nil)
 
+func (s *Server) newConn(transport *netio.Conn) *conn {
+	return &conn{server: s, transport: transport, admission: newAdmission(&s.admission, admissionFactor*s.limits.OpenPerConn),
+		openRequests: map[uint64]openRequest{}}
+}
+
 // Consume implements netio.Handler.
 func (c *conn) Consume(buf []byte) (used, needed int, err error) {
+	defer c.sendRefusals()
 	for {
 		m, progress, err := rpc.ParseMessage(buf[used:], c.server.limits.MessageBytes)
 		if err != nil {
@@ -41,16 +59,22 @@
 			return used, progress.Needed, err
 		}
 		used += progress.Consumed
-		c.handle(m)
+		if err := c.handle(m); err != nil {
+			return used, 0, err
+		}
 	}
 }
 
 // Closed implements netio.Handler. It cancels the open requests, as their answers can't be delivered any more.
 func (c *conn) Closed() {
+	c.closed.Store(true)
+	if c.admission.isEmpty() { // a client that only connects and leaves costs the core nothing
+		return
+	}
 	c.server.core.Post(func() {
-		c.closed = true
-		for _, id := range c.openRequests {
-			c.server.core.CancelRequest(id)
+		for _, open := range c.openRequests {
+			c.server.core.CancelRequest(open.id)
+			c.admission.release(open.ticket)
 		}
 		clear(c.openRequests)
 	})
@@ -58,78 +82,119 @@
 
 // InputFailed implements netio.InputErrorHandler. After malformed input, it aborts the open requests, so that the client
 // gets their answers at once.
-func (c *conn) InputFailed() { c.server.core.Post(c.abortOpen) }
+func (c *conn) InputFailed() {
+	if !c.admission.isEmpty() {
+		c.server.core.Post(c.abortOpen)
+	}
+}
 
 // abortOpen aborts all open requests, in the order of their message ids. The core answers each as rejected or failed.
 func (c *conn) abortOpen() {
 	for _, messageID := range slices.Sorted(maps.Keys(c.openRequests)) {
-		c.server.core.AbortRequest(c.openRequests[messageID])
+		if open, isOpen := c.openRequests[messageID]; isOpen {
+			c.server.core.AbortRequest(open.id)
+		}
 	}
 }
 
-// handle passes a message on to the core's goroutine.
-func (c *conn) handle(m rpc.Message) {
-	switch {
-	case m.Kind == rpc.KindNotification:
+// handle passes a message on to the core's goroutine, or refuses it. After an error, nothing more is read.
+func (c *conn) handle(m rpc.Message) error {
+	if m.Kind == rpc.KindNotification {
 		if string(m.Method) == methodCancel {
-			c.server.core.Post(func() { c.cancel(m.IDs) })
+			c.handleCancel(m.IDs)
 		}
-	case string(m.Method) == methodHealth:
-		c.transport.AddPendingReplies(1)
-		c.server.core.Post(func() {
-			ready := c.server.core.Snapshot().Phase == core.Serving
-			_ = c.send(rpc.AppendHealthResponse(nil, m.ID, ready)) // send logs errors
-		})
-	default:
-		c.transport.AddPendingReplies(1)
-		request, code := c.server.newRequest(m)
-		request.ArrivedAt = c.server.core.EarliestArrival()
-		c.server.core.Post(func() { c.submit(m.ID, request, code) })
+		return nil
+	}
+	if c.admission.contains(m.ID) || c.refusals.contains(m.ID) { // the client could not tell two answers with one id apart
+		c.transport.CloseAfterReplies(netio.CloseDuplicateID)
+		return errDuplicateID
 	}
+	ticket, refused, admitted := c.admission.admit(m.ID, len(m.Body)+requestOverheadBytes)
+	if !admitted {
+		return c.refuse(m, refused)
+	}
+	c.transport.AddPendingReplies(1)
+	if string(m.Method) == methodHealth {
+		c.server.core.Post(func() { c.answerHealth(ticket) })
+		return nil
+	}
+	request, code := c.server.newRequest(m)
+	request.ArrivedAt = c.server.core.EarliestArrival()
+	c.server.core.Post(func() { c.submit(ticket, request, code) })
+	return nil
+}
+
+// handleCancel passes on the cancellation of the requests that are in the core or on their way to it.
+func (c *conn) handleCancel(messageIDs []uint64) {
+	if cancelled := c.admission.cancel(messageIDs); len(cancelled) > 0 {
+		c.server.core.Post(func() { c.cancel(cancelled) })
+	}
+}
+
+// refuse refuses a message without the core: no answer of it is worth the work.
+func (c *conn) refuse(m rpc.Message, reason core.RefusalReason) error {
+	if err := c.refusals.add(m.ID); err != nil {
+		c.transport.CloseAfterReplies(netio.CloseTooManyRefusals)
+		return err
+	}
+	c.transport.AddPendingReplies(1)
+	c.server.core.CountRefusal(reason)
+	c.server.core.CountAnswer(string(m.Method), core.Rejected)
+	return nil
+}
+
+// answerHealth answers a health check.
+func (c *conn) answerHealth(t ticket) {
+	c.admission.release(t)
+	ready := c.server.core.Snapshot().Phase == core.Serving
+	_ = c.send(rpc.AppendHealthResponse(nil, t.messageID, ready)) // send logs errors
 }
 
 // submit submits a request to the core, or answers it at once: with the error code of newRequest, or as rejected if the
-// connection has too many open requests or the router too many unsent answers.
-func (c *conn) submit(messageID uint64, request core.Request, code string) {
-	_, duplicate := c.openRequests[messageID]
+// connection has too many open requests.
+func (c *conn) submit(t ticket, request core.Request, code string) {
+	_, duplicate := c.openRequests[t.messageID]
 	switch {
-	case c.closed: // the request was read as the connection ended: its answer could not be delivered
-	case duplicate: // the client could not tell two answers with one id apart: this request gets none
+	case c.closed.Load(): // the request was read as the connection ended: its answer could not be delivered
+		c.admission.release(t)
+	case duplicate: // the request with the same id was cancelled, and its cancellation was not read in time
+		c.admission.release(t)
 		c.closeOnFault(netio.CloseDuplicateID)
 	case code != "":
-		c.rejectMalformed(messageID, request.Class, code)
+		c.rejectMalformed(t, request.Class, code)
 	case len(c.openRequests) >= c.server.limits.OpenPerConn:
-		c.reject(messageID, request.Class, core.RefusedTooManyOnConnection)
-	case c.server.budget.AboveHighWater():
-		c.reject(messageID, request.Class, core.RefusedMemory)
+		c.reject(t, request.Class, core.RefusedTooManyOnConnection)
 	default:
 		id := c.server.core.NewID()
-		c.openRequests[messageID] = id
+		c.openRequests[t.messageID] = openRequest{id, t}
 		request.Reply = func(a core.Answer) core.Verdict {
-			delete(c.openRequests, messageID)
-			return c.reply(messageID, a)
+			delete(c.openRequests, t.messageID)
+			c.admission.release(t)
+			return c.reply(t.messageID, a)
 		}
 		c.server.core.Submit(id, request)
 	}
 }
 
 // reject answers a request that is not taken, and that may be sent again.
-func (c *conn) reject(messageID uint64, class string, reason core.RefusalReason) {
+func (c *conn) reject(t ticket, class string, reason core.RefusalReason) {
+	c.admission.release(t)
 	c.server.core.CountRefusal(reason)
 	c.server.core.CountAnswer(class, core.Rejected)
-	_ = c.send(rpc.AppendErrorResponse(nil, messageID, rpc.CodeThrottled)) // send logs errors
+	_ = c.send(rpc.AppendErrorResponse(nil, t.messageID, rpc.CodeThrottled)) // send logs errors
 }
 
 // rejectMalformed answers an invalid request with an error code. It closes the connection of a client that has sent too
 // many of them.
-func (c *conn) rejectMalformed(messageID uint64, class, code string) {
+func (c *conn) rejectMalformed(t ticket, class, code string) {
+	c.admission.release(t)
 	if c.badRequests++; c.badRequests > c.server.limits.BadRequests {
 		c.closeOnFault(netio.CloseTooManyBadRequests)
 		return
 	}
 	c.server.core.CountRefusal(core.RefusedMalformed)
 	c.server.core.CountAnswer(class, core.Failed)
-	_ = c.send(rpc.AppendErrorResponse(nil, messageID, code)) // send logs errors
+	_ = c.send(rpc.AppendErrorResponse(nil, t.messageID, code)) // send logs errors
 }
 
 // closeOnFault closes the connection of a client that violated the protocol, once its open requests are answered. The
@@ -143,10 +208,11 @@
 // cancel cancels the open requests with the given message ids. Unknown ids are ignored.
 func (c *conn) cancel(messageIDs []uint64) {
 	for _, messageID := range messageIDs {
-		if id, ok := c.openRequests[messageID]; ok {
+		if open, isOpen := c.openRequests[messageID]; isOpen {
 			delete(c.openRequests, messageID)
+			c.admission.release(open.ticket)
 			c.transport.AddPendingReplies(-1)
-			c.server.core.CancelRequest(id)
+			c.server.core.CancelRequest(open.id)
 		}
 	}
 }
@@ -161,7 +227,7 @@
 		verdict = core.Failed
 		err = c.queueResponse(rpc.AppendErrorResponse(nil, messageID, codeFailed))
 	}
-	c.finishReply(err)
+	c.finishReplies(1, err)
 	return verdict
 }
 
@@ -169,7 +235,7 @@
 // of the memory budget.
 func (c *conn) send(response []byte) error {
 	err := c.queueResponse(response)
-	c.finishReply(err)
+	c.finishReplies(1, err)
 	return err
 }
 
@@ -182,10 +248,10 @@
 	return err
 }
 
-// finishReply counts one pending reply as given. err is the error of queueing it. A draining router closes the connection
+// finishReplies counts pending replies as given. err is the error of queueing them. A draining router closes the connection
 // once no more replies are pending.
-func (c *conn) finishReply(err error) {
-	c.transport.AddPendingReplies(-1)
+func (c *conn) finishReplies(count int, err error) {
+	c.transport.AddPendingReplies(-count)
 	if err == nil && c.server.core.DrainStage() >= core.CloseAfterResponse {
 		c.transport.CloseWhenIdle()
 	}
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -14,8 +14,8 @@
 
 var log = logging.For("msgpackrpc")
 
-// Core processes the requests that the front end submits. Post, NewID, EarliestArrival, Snapshot, DrainStage and
-// CountRefusal may be called from any goroutine, the other methods only on the core's goroutine.
+// Core processes the requests that the front end submits. Submit, CancelRequest and AbortRequest may be called only on the
+// core's goroutine, the other methods from any goroutine.
 type Core interface {
 	Post(f func())
 	NewID() balancer.RequestID
@@ -23,31 +23,32 @@
 	Snapshot() *core.Snapshot
 	DrainStage() core.DrainStage
 	CountRefusal(reason core.RefusalReason)
+	CountAnswer(class string, v core.Verdict)
 
 	Submit(id balancer.RequestID, q core.Request)
 	CancelRequest(id balancer.RequestID)
 	AbortRequest(id balancer.RequestID)
-	CountAnswer(class string, v core.Verdict)
 }
 
 // Server serves clients on one address.
 type Server struct {
 	*netio.Server
-	core    Core
-	limits  config.Limits
-	classes map[string]balancer.Class // by method name
-	budget  *netio.Budget             // bounds the bytes of unsent answers over all connections
+	core      Core
+	limits    config.Limits
+	classes   map[string]balancer.Class // by method name
+	admission serverAdmission
 }
 
 // Listen opens a listener on addr, or uses the inherited listener if its descriptor is above 0. The budget bounds the
-// bytes of answers that wait for slow clients, over all connections.
+// bytes of requests and of answers that wait for slow clients, over all connections.
 func Listen(addr string, inherited int, c Core, limits config.Limits, classes []balancer.Class, budget *netio.Budget) (*Server, error) {
-	s := &Server{core: c, limits: limits, classes: make(map[string]balancer.Class, len(classes)), budget: budget}
+	s := &Server{core: c, limits: limits, classes: make(map[string]balancer.Class, len(classes)),
+		admission: serverAdmission{openRequests: int64(limits.OpenRequests), budget: budget}}
 	for _, class := range classes {
 		s.classes[class.Name] = class
 	}
 	newHandler := func(transport *netio.Conn) netio.Handler {
-		return &conn{server: s, transport: transport, openRequests: map[uint64]balancer.RequestID{}}
+		return s.newConn(transport)
 	}
 	var err error
 	if inherited > 0 {
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -1,9 +1,11 @@
 package msgpackrpc
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/netio"
+	"hillknot/internal/rpc"
 )
 
 // fakeCore passes the calls of the front end on to the test.
@@ -59,7 +62,7 @@
 	t.Helper()
 	fake := &fakeCore{posts: make(chan func(), 100), submitted: make(chan core.Request, 100), cancelled: make(chan balancer.RequestID, 100)}
 	fake.phase.Store(int64(core.Serving))
-	limits := config.Limits{ClientConns: 10, OpenPerConn: 2, MessageBytes: 1 << 16, BodyBytes: 1 << 10, BadRequests: 2,
+	limits := config.Limits{ClientConns: 10, OpenPerConn: 2, OpenRequests: 100, MessageBytes: 1 << 16, BodyBytes: 1 << 10, BadRequests: 2,
 		Client: config.ConnLimits{MaxPendingBytes: 1 << 20, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, SilentTimeout: 10 * time.Second}}
 	server, err := Listen("127.0.0.1:0", 0, fake, limits, []balancer.Class{{Name: "page", Deadline: 3 * time.Second}}, netio.NewBudget(1<<22))
 	if err != nil {
@@ -332,11 +335,126 @@
 // could cancel it any more, and it would be sent to a page cache for a client that has gone.
 func TestRequestAfterCloseIsNotSubmitted(t *testing.T) {
 	fake := &fakeCore{posts: make(chan func(), 10), submitted: make(chan core.Request, 10)}
-	c := &conn{server: &Server{core: fake, limits: config.Limits{OpenPerConn: 2}, budget: netio.NewBudget(1 << 20)}, openRequests: map[uint64]balancer.RequestID{}}
+	server := &Server{core: fake, limits: config.Limits{OpenPerConn: 2}, admission: serverAdmission{openRequests: 2, budget: netio.NewBudget(1 << 20)}}
+	c := server.newConn(nil)
+	admitted, _, ok := c.admission.admit(1, 0)
+	if !ok {
+		t.Fatal("the request is not admitted")
+	}
 	c.Closed()
 	(<-fake.posts)()
-	c.submit(1, core.Request{}, "")
+	c.submit(admitted, core.Request{}, "")
 	if len(fake.submitted) != 0 {
 		t.Error("request submitted after the connection closed")
 	}
 }
+
+// A client that sends without pause, and that reads nothing for a while, is refused without the core, which gets a bounded number
+// of its requests. Each of them is answered exactly once when the client reads.
+func TestFloodIsRefusedWithoutTheCore(t *testing.T) {
+	const requests = 30_000
+	fake := &fakeCore{posts: make(chan func(), 1000), submitted: make(chan core.Request, 1000), cancelled: make(chan balancer.RequestID, 1000)}
+	limits := config.Limits{ClientConns: 10, OpenPerConn: 2, OpenRequests: 100, MessageBytes: 1 << 16, BodyBytes: 1 << 10,
+		Client: config.ConnLimits{MaxPendingBytes: 1 << 20, ReceiveBuffer: 1 << 14, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, SilentTimeout: time.Minute}}
+	budget := netio.NewBudget(1 << 22)
+	server, err := Listen("127.0.0.1:0", 0, fake, limits, []balancer.Class{{Name: "page", Deadline: 3 * time.Second}}, budget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve()
+	t.Cleanup(server.Close)
+	nc, err := net.DialTimeout("tcp", server.Addr().String(), 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	var flood []byte
+	for id := uint64(1); id <= requests; id++ {
+		flood = rpc.AppendRequest(flood, id, &rpc.Request{Method: "page", Txn: id, TimeoutMillis: 1000})
+	}
+	if _, err := nc.Write(flood); err != nil { // the client reads nothing yet
+		t.Fatal(err)
+	}
+	if got, most := len(fake.posts), admissionFactor*limits.OpenPerConn; got > most {
+		t.Errorf("the core got %d calls, want %d at most", got, most)
+	}
+	go func() {
+		for post := range fake.posts {
+			post()
+			for len(fake.submitted) > 0 {
+				(<-fake.submitted).Reply(core.Answer{Verdict: core.Rejected})
+			}
+		}
+	}()
+	answers := map[int64]int{}
+	for dec := msgpack.NewDecoder(nc); len(answers) < requests; {
+		v, err := dec.DecodeSlice()
+		if err != nil {
+			t.Fatalf("after %d answers: %v", len(answers), err)
+		}
+		id, _ := strconv.ParseInt(fmt.Sprint(v[1]), 10, 64)
+		if answers[id]++; answers[id] > 1 {
+			t.Fatalf("request %d got two answers", id)
+		}
+	}
+	for begun := time.Now(); budget.Used() != 0 && time.Since(begun) < 10*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes count against the budget after all requests are answered", budget.Used())
+	}
+}
+
+// Refusals take no more room for a client that counts its message ids up, however many there are. Ids in any other order are
+// bounded, and each id is returned once.
+func TestRefusalsAreBounded(t *testing.T) {
+	var r refusals
+	for id := uint64(1); id <= 1_000_000; id++ {
+		if err := r.add(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(r.ranges) != 1 || !r.contains(500_000) || r.contains(1_000_001) {
+		t.Errorf("%d ranges, want one from 1 to 1000000", len(r.ranges))
+	}
+	total := 0
+	for encoded, count := r.take(); count > 0; encoded, count = r.take() {
+		if total += count; len(encoded) > refusalBatchBytes {
+			t.Fatalf("a batch of %d bytes", len(encoded))
+		}
+	}
+	if total != 1_000_000 {
+		t.Errorf("%d refusals returned, want 1000000", total)
+	}
+	added := 0
+	for id := uint64(0); r.add(id) == nil; id += 2 {
+		added++
+	}
+	if added != maxRefusalRanges {
+		t.Errorf("%d ids without a neighbour were taken, want %d", added, maxRefusalRanges)
+	}
+}
+
+// Once most of the open requests are in use, a connection with many requests gets no more, and one with few still does.
+func TestConnectionsWithFewRequestsAreAdmittedUnderLoad(t *testing.T) {
+	server := &serverAdmission{openRequests: 100, budget: netio.NewBudget(1 << 20)}
+	busy, quiet := newAdmission(server, 1000), newAdmission(server, 1000)
+	admitted := 0
+	for id := uint64(1); id <= 200; id++ {
+		if _, _, ok := busy.admit(id, 1); ok {
+			admitted++
+		}
+	}
+	if admitted != 75 {
+		t.Errorf("the busy connection has %d requests, want 75", admitted)
+	}
+	for id := uint64(1); id <= smallShare; id++ {
+		if _, _, ok := quiet.admit(id, 1); !ok {
+			t.Errorf("request %d of the quiet connection is refused", id)
+		}
+	}
+	if _, refused, ok := quiet.admit(100, 1); ok || refused != core.RefusedTooManyOpen {
+		t.Errorf("a further request: admitted %t, refused as %v", ok, refused)
+	}
+}
