upstream: drop responses that nobody awaits as they are read, and count bodies in the budget

Cause: each response of a page cache became a call in the core's queue, with a copy of its body, whether or not it was awaited, and bodies that waited for the core counted nowhere: after a stop, 1,024 open requests could hold 240 MB. Responses are matched as they are read; others cost the core one report, which keeps the connection from looking silent. A body counts against the budget until the core has it; one that does not fit fails its request, as an answer that does not fit did already. Class: a queue whose writer is a peer.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -80,6 +80,7 @@
 	Detail      balancer.Detail
 	SourceWait  time.Duration // how long the endpoint waited for the first byte of its source
 	Body        []byte        // owned by the receiver
+	BodyDropped bool          // the body did not fit into the memory, so the request fails
 	NotModified bool          // the client's copy is current
 	ETag        string        // of that copy, as the endpoint sent it
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -115,8 +115,12 @@
 func (c *Core) serve(r *request, result AttemptResult) {
 	c.removeRequest(r)
 	answer := Answer{Verdict: Served, Body: result.Body}
-	if result.NotModified {
+	switch {
+	case result.NotModified:
 		answer = Answer{Verdict: NotModified}
+	case result.BodyDropped:
+		c.CountRefusal(RefusedMemory)
+		answer = failedAnswer
 	}
 	c.finishOrder(r, answer)
 	c.deliver(r, answer)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -38,7 +38,7 @@
 	connCount int                           // connections to all endpoints that are open or being dialed
 }
 
-// New returns a client. The budget bounds the bytes of incomplete responses, and now reads the core's clock.
+// New returns a client. The budget bounds the bytes of responses that are incomplete or wait for the core, and now reads the core's clock.
 func New(c Core, limits config.Limits, budget *netio.Budget, now func() time.Duration) *Client {
 	return &Client{
 		core:     c,
@@ -158,8 +158,10 @@
 	if !cl.core.AcquireSendPermission(a) { // another router must know of the attempt first; the core sends it again then
 		return
 	}
+	c.awaited.add(a.Request.Txn) // the response may be read before the write returns
 	err := c.transport.WriteSync(appendRequest(nil, a))
 	if netio.IsIncompleteWrite(err) { // the endpoint did not get the whole request, so the request can't run
+		c.awaited.remove(a.Request.Txn)
 		c.fail()
 		cl.resend(a)
 		return
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -15,6 +15,7 @@
 	client    *Client
 	pool      *pool
 	transport *netio.Conn
+	awaited   awaitedResponses         // any goroutine may use it
 	inFlight  map[string]*core.Attempt // by txn
 	draining  bool                     // the connection carries no new attempts, and closes after the last response
 
@@ -69,6 +70,7 @@
 func (c *connection) remove(a *core.Attempt) {
 	delete(c.inFlight, a.Request.Txn)
 	delete(c.client.inFlight, a)
+	c.awaited.remove(a.Request.Txn)
 }
 
 // becomeIdle records that the connection is idle, and writes waiting attempts on it until one is in flight.
@@ -140,20 +142,55 @@
 		if err != nil || progress.consumed == 0 {
 			return used, progress.needed, err
 		}
-		result, err := r.result()
-		if err != nil {
+		if err := c.read(r); err != nil {
 			return used, 0, err
 		}
 		used += progress.consumed
-		txn := string(r.txn)
-		c.client.core.Post(func() { c.handleResponse(txn, result) })
+	}
+}
+
+// read passes a response on to the core's goroutine if it is awaited. Its body counts against the budget until then; a body that
+// does not fit is dropped.
+func (c *connection) read(r response) error {
+	if _, known := statuses[string(r.status)]; !known {
+		return errMalformedResponse
+	}
+	txn := string(r.txn)
+	if !c.awaited.remove(txn) {
+		c.reportActivity()
+		return nil
+	}
+	counted := len(r.body)
+	fits := c.client.budget.Take(counted)
+	if !fits {
+		r.body, counted = nil, 0
+	}
+	result, err := r.result()
+	if err != nil {
+		return err
+	}
+	result.BodyDropped = !fits
+	c.client.core.Post(func() {
+		c.client.budget.Release(counted)
+		c.handleResponse(txn, result)
+	})
+	return nil
+}
+
+// reportActivity tells the core's goroutine that the endpoint responds, though to nothing that is awaited.
+func (c *connection) reportActivity() {
+	if c.awaited.beginReport() {
+		c.client.core.Post(func() {
+			c.awaited.endReport()
+			c.awaitingSince = c.client.now()
+		})
 	}
 }
 
 // Closed implements netio.Handler.
 func (c *connection) Closed() { c.client.core.Post(c.fail) }
 
-// handleResponse completes an attempt with its response. It ignores the response to a cancelled attempt.
+// handleResponse completes an attempt with its response. It ignores the response to an attempt that was cancelled meanwhile.
 func (c *connection) handleResponse(txn string, result core.AttemptResult) {
 	c.awaitingSince = c.client.now()
 	a := c.inFlight[txn]
