dns, admin: bound the queries and operators' calls that wait for the core

The same class on the other ways in: queries over TCP, and POST /standby and /active on connections that are reset at once, were calls in the core's queue without a bound. Queries over OpenQueries get SERVFAIL as they are read (over UDP they were dropped already); operators' calls over AdminConns get 503. Agent checks and read-only pages never needed the core.

--- a/internal/frontend/admin/server.go
+++ b/internal/frontend/admin/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"hillknot/internal/config"
 	"hillknot/internal/core"
@@ -32,6 +33,8 @@
 	core     Core
 	limits   config.Limits
 	buffered *netio.Budget // of clients and page caches, for the metrics
+
+	openOrders atomic.Int64 // requests that change the state, and wait for the core
 }
 
 // Listen opens the listener. buffered is the budget of clients and page caches, which the metrics report. The server's connections have a limit of their own, so that clients can't use it up. A connection that
@@ -97,10 +100,23 @@
 	case path == "/status/metrics":
 		c.respond(response{status: statusOK, body: string(appendMetrics(nil, c.server.core.Snapshot(), c.server.processState())), omitBody: isHead})
 	case path == "/standby":
-		c.server.core.Post(c.enterStandby)
+		c.order(c.enterStandby)
 	default:
-		c.server.core.Post(c.leaveStandby)
+		c.order(c.leaveStandby)
+	}
+}
+
+// order has the core carry out a request that changes the state, unless as many as there may be connections wait for it.
+func (c *conn) order(carryOut func()) {
+	if c.server.openOrders.Add(1) > int64(c.server.limits.AdminConns) {
+		c.server.openOrders.Add(-1)
+		c.respond(response{status: "503 Service Unavailable", body: "too many requests wait\n"})
+		return
 	}
+	c.server.core.Post(func() {
+		defer c.server.openOrders.Add(-1)
+		carryOut()
+	})
 }
 
 const statusOK = "200 OK"
--- a/internal/frontend/dns/resolve.go
+++ b/internal/frontend/dns/resolve.go
@@ -72,6 +72,11 @@
 		x.replyNegative(codeOK)
 		return
 	}
+	if x.server.openQueries.Add(1) > int64(x.server.limits.OpenQueries) { // the core takes queries in its own time
+		x.server.openQueries.Add(-1)
+		x.replyCode(codeServFail)
+		return
+	}
 	x.query.question = append([]byte(nil), x.query.question...)
 	cfg := x.server.cfg
 	x.server.core.Post(func() {
@@ -101,6 +106,7 @@
 
 // reply answers the query with the page caches that the core has chosen, or with an error code if there are none.
 func (x *exchange) reply(result core.QueryResult) {
+	x.server.openQueries.Add(-1)
 	if len(result.Endpoints) == 0 {
 		x.replyCode(codeServFail)
 		return
--- a/internal/frontend/dns/server.go
+++ b/internal/frontend/dns/server.go
@@ -39,6 +39,7 @@
 
 	readUDP        readDatagram // reads from udp, unless a test replaces it
 	openUDPQueries atomic.Int64 // queries over UDP without a reply
+	openQueries    atomic.Int64 // queries that were passed on to the core and have no reply
 }
 
 // portAttempts is the largest number of ports that Listen tries if the system chooses the port.
