logging: write the log in the background, and don't end when its reader goes

What callers saw: the process ends by itself (SIGPIPE at its next log line) when whoever reads its standard error has gone, and answers nobody, without a sign, when the reader stands still: each line waited, also in netpoll's poller and under slog's lock.

Lines now go through a queue of 1,024 to a goroutine of its own; what finds no room is dropped and counted (app_log_lines_dropped), errors such as a full disk are ignored, and the end of the process waits 0.1 s for the last lines. The router ignores SIGPIPE; the commands for clients still end by it. Class: an output whose reader stands still. The Go runtime's trace of a crash still writes to the descriptor itself.

--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -20,7 +21,14 @@
 // version is the version of the latest entry in CHANGELOG.md.
 const version = "0.15.2"
 
-func main() { os.Exit(runCommandLine(os.Args[1:], os.Stdout, os.Stderr)) }
+// logFlushTimeout is the longest time for which the end of the process waits for its last log lines to be written.
+const logFlushTimeout = 100 * time.Millisecond
+
+func main() {
+	status := runCommandLine(os.Args[1:], os.Stdout, os.Stderr)
+	logging.Stderr().Flush(logFlushTimeout)
+	os.Exit(status)
+}
 
 // runCommandLine runs the command that args select and returns its exit status.
 func runCommandLine(args []string, stdout, stderr io.Writer) int {
@@ -54,7 +62,7 @@
 		Long: "An edge router for devices on poor links, and tools for its clients.\n\n" +
 			"Without a sub-command it runs the router, as `hillknot serve` does.",
 		Args: cobra.NoArgs, RunE: routerFlags.serve,
-		PersistentPreRunE: func(*cobra.Command, []string) error { return logs.apply(os.Stderr) },
+		PersistentPreRunE: func(*cobra.Command, []string) error { return logs.apply(logging.Stderr()) },
 	}
 	routerFlags.add(root)
 	logs.add(root.PersistentFlags())
--- a/cmd/hillknot/resourcemonitor.go
+++ b/cmd/hillknot/resourcemonitor.go
@@ -5,6 +5,7 @@
 
 	"hillknot/internal/config"
 	"hillknot/internal/core"
+	"hillknot/internal/logging"
 	"hillknot/internal/netio"
 	"hillknot/internal/resources"
 )
@@ -66,7 +67,8 @@
 func (m *resourceMonitor) attributes(usage resources.Usage) []any {
 	snapshot := m.snapshot()
 	return append(usageAttributes(usage), "buffered_bytes", m.buffered(), "open_requests", snapshot.OpenRequests,
-		"waiting_calls", snapshot.Queue.Length, "stalls", snapshot.Stalls.Count, "handler_panics", netio.HandlerPanics())
+		"waiting_calls", snapshot.Queue.Length, "stalls", snapshot.Stalls.Count,
+		"handler_panics", netio.HandlerPanics(), "log_lines_dropped", logging.Stderr().Dropped())
 }
 
 // usageAttributes returns the attributes of a log line that report a usage.
--- a/cmd/hillknot/serve.go
+++ b/cmd/hillknot/serve.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
@@ -18,6 +20,7 @@
 
 // serve runs the router until it receives SIGTERM or SIGINT.
 func (f *serveFlags) serve(*cobra.Command, []string) error {
+	signal.Ignore(syscall.SIGPIPE) // else a log whose reader has gone would end the process
 	return runRouter(routerOptions{
 		configPath:   f.configPath,
 		operatorPath: f.operatorPath,
--- a/internal/frontend/admin/resourcemetrics.go
+++ b/internal/frontend/admin/resourcemetrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"hillknot/internal/core"
+	"hillknot/internal/logging"
 	"hillknot/internal/netio"
 	"hillknot/internal/resources"
 )
@@ -39,6 +40,7 @@
 		{"stalls", "Stalls of the event loop.", "counter", int64(snapshot.Stalls.Count)},
 		{"stall_longest_ms", "The longest stall of the event loop, in milliseconds.", "gauge", snapshot.Stalls.Longest.Milliseconds()},
 		{"handler_panics", "Panics of connection handlers; each ended one connection.", "counter", int64(netio.HandlerPanics())},
+		{"log_lines_dropped", "Log lines that could not be written.", "counter", int64(logging.Stderr().Dropped())},
 		{"retries", "Attempts after the first one of their request.", "counter", int64(snapshot.RetriesSent)},
 	} {
 		b = fmt.Appendf(appendHeader(b, metric.name, metric.help, metric.kind), "app_%s %d\n", metric.name, metric.value)
