--- a/cmd/hillknot/hotrestart.go
+++ b/cmd/hillknot/hotrestart.go
@@ -55,7 +55,11 @@
 		r.core.ImportModuleSnapshot(state.Snapshot)
 		close(imported)
 	})
-	<-imported
+	select {
+	case <-imported:
+	case <-cancel:
+		return true // the predecessor has been told that this process is ready
+	}
 	snapshot := state.Snapshot
 	log.Info("hot restart state imported",
 		"endpoints", len(snapshot.Endpoints), "purges", len(snapshot.Purges), "objects", len(snapshot.Objects))
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -183,17 +183,30 @@
 	return true
 }
 
-// Shutdown stops accepting and closes the open connections gracefully: requests that were read are answered, queued
-// messages are written, and input that arrives from now on is discarded. It returns once the peers have closed their
-// sides too, or at the deadline, which is a reading of package clock. The caller must call Close afterwards.
+// Shutdown stops accepting and closes the open connections gracefully: requests that were read are answered, and queued
+// messages are written. For shutdownReadTime, a connection is closed only once nothing has arrived on it that was not answered;
+// after that, input that was not read yet is discarded. Shutdown returns once the peers have closed their sides too, or at the
+// deadline, which is a reading of package clock. The caller must call Close afterwards.
 func (s *Server) Shutdown(deadline time.Duration) {
 	s.listener.state.stop()
-	for s.slots.open.Load() > 0 && clock.Now() < deadline {
-		s.forEachConn(func(c *Conn) bool { c.CloseAfterReplies(closeShutdown); return true })
+	now := clock.Now()
+	readUntil := now + min(shutdownReadTime, (deadline-now)/2)
+	for ; s.slots.open.Load() > 0 && now < deadline; now = clock.Now() {
+		s.forEachConn(func(c *Conn) bool {
+			if now >= readUntil {
+				c.CloseAfterReplies(closeShutdown)
+			} else {
+				c.closeIfIdle(closeShutdown, keepPartial)
+			}
+			return true
+		})
 		time.Sleep(shutdownPollInterval)
 	}
 }
 
+// shutdownReadTime is how long Shutdown still reads what has arrived.
+const shutdownReadTime = 50 * time.Millisecond
+
 // shutdownPollInterval is how often Shutdown checks whether all connections have closed.
 const shutdownPollInterval = 2 * time.Millisecond
 
