Soak: earliest kill, floods, and memory, descriptors, goroutines and exit status of each process

The soak killed after 3.7 s whatever the deadlines, watched no process, and killed all routers at its end. Each seed now has longest deadlines of 1 s, 1.5 s or the usual ones, and the kill comes that long, counted as 3 s at most, plus 0.7 s after SIGTERM. One seed in five has floods.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 measure-fleet: build
 	bin/hillknot-loadtest scale
 
-# Two dozen router processes under overlapping faults, 50 seeds, in about a quarter of an hour; docs/incidents. Nothing else should
+# Two dozen router processes under overlapping faults, 50 seeds, in about seventeen minutes; docs/incidents. Nothing else should
 # run at the same time. CI plays two short seeds with fewer routers (TestSoakKeepsInvariantsThroughOverlappingFaults).
 soak: build
 	bin/hillknot-loadtest soak
--- a/loadtest/fleet.go
+++ b/loadtest/fleet.go
@@ -36,6 +36,8 @@
 	Sockets        int  // descriptors that a router may hold; 0: the default
 	MemoryMB       int  // memory that a router may use; 0: the default
 
+	MaxDeadline time.Duration // bounds the deadlines of all classes; 0: their defaults
+
 	Answer   func(cache int, request fakes.Request) fakes.Reply // nil: Backend answers
 	Operator func(router int, ip string) (string, error)        // returns the text of a router's operator's file; nil: no file
 	// Address returns the addresses of page caches that the caller runs, and last that of the origin. Nil: the fleet runs
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -130,8 +130,8 @@
 	}
 	defer fleet.Close()
 	run := &floodRun{router: fleet.Routers[0], length: settings.Length, peers: peers, stop: make(chan struct{}), counts: &floodCounter{}}
-	monitor := startProcessMonitor(run.router.process.Process.Pid)
-	goroutines := startGoroutineMonitor(run.router)
+	monitor := startProcessMonitor(run.router.process.Process.Pid, sampleInterval)
+	goroutines := startGoroutineMonitor(run.router, goroutineSampleInterval)
 	steady := startSteadyClient(run.router.ListenAddress)
 	flood := kind.start(run)
 	time.Sleep(settings.Length)
--- a/loadtest/floodmonitor.go
+++ b/loadtest/floodmonitor.go
@@ -13,14 +13,15 @@
 // goroutineMonitor samples the number of goroutines that a router exports.
 type goroutineMonitor struct {
 	router  *Router
+	every   time.Duration
 	stopped chan struct{}
 	sampler sync.WaitGroup
 	most    int // used only by the sampler's goroutine until it has ended
 }
 
-// startGoroutineMonitor starts to sample. The caller ends the monitor with stop.
-func startGoroutineMonitor(r *Router) *goroutineMonitor {
-	m := &goroutineMonitor{router: r, stopped: make(chan struct{})}
+// startGoroutineMonitor starts to sample once in a length of time. The caller ends the monitor with stop.
+func startGoroutineMonitor(r *Router, every time.Duration) *goroutineMonitor {
+	m := &goroutineMonitor{router: r, every: every, stopped: make(chan struct{})}
 	m.sampler.Go(m.run)
 	return m
 }
@@ -31,7 +32,7 @@
 		select {
 		case <-m.stopped:
 			return
-		case <-time.After(goroutineSampleInterval):
+		case <-time.After(m.every):
 		}
 	}
 }
--- a/loadtest/processmonitor.go
+++ b/loadtest/processmonitor.go
@@ -10,11 +10,13 @@
 	"time"
 )
 
+// sampleInterval is the usual time between two samples.
 const sampleInterval = 20 * time.Millisecond
 
 // processMonitor samples the resources that a process uses.
 type processMonitor struct {
 	dir     string // of the process in /proc
+	every   time.Duration
 	stop    chan struct{}
 	sampler sync.WaitGroup
 
@@ -24,9 +26,9 @@
 	memoryKB    int64
 }
 
-// startProcessMonitor starts to sample a process. The caller ends the monitor with finish.
-func startProcessMonitor(pid int) *processMonitor {
-	m := &processMonitor{dir: filepath.Join("/proc", strconv.Itoa(pid)), stop: make(chan struct{})}
+// startProcessMonitor starts to sample a process once in a length of time. The caller ends the monitor with finish.
+func startProcessMonitor(pid int, every time.Duration) *processMonitor {
+	m := &processMonitor{dir: filepath.Join("/proc", strconv.Itoa(pid)), every: every, stop: make(chan struct{})}
 	m.sampler.Go(m.run)
 	return m
 }
@@ -37,7 +39,7 @@
 		select {
 		case <-m.stop:
 			return
-		case <-time.After(sampleInterval):
+		case <-time.After(m.every):
 		}
 	}
 }
--- a/loadtest/router.go
+++ b/loadtest/router.go
@@ -115,6 +115,12 @@
 	_ = r.wait() // the error says that the process was killed
 }
 
+// endedByItself reports whether a process that has ended was not killed.
+func (r *Router) endedByItself() bool {
+	status, ok := r.process.ProcessState.Sys().(syscall.WaitStatus)
+	return !ok || !status.Signaled() || status.Signal() != syscall.SIGKILL
+}
+
 // restart kills the process and starts it again.
 func (r *Router) restart() error {
 	r.Kill()
--- a/loadtest/routerconfig.go
+++ b/loadtest/routerconfig.go
@@ -91,6 +91,14 @@
 	PurgeTakes     int64   `json:"purgeTakesUs"`
 }
 
+// deadline returns the deadline of a class whose default is given.
+func (o *FleetOptions) deadline(usual time.Duration) time.Duration {
+	if o.MaxDeadline > 0 {
+		return min(usual, o.MaxDeadline)
+	}
+	return usual
+}
+
 // routerConfig returns the text of a router's configuration file.
 func (f *Fleet) routerConfig(r *Router, endpoints []endpoint) ([]byte, error) {
 	const second = time.Second
@@ -112,9 +120,9 @@
 			Invariants: routerInvariants{WarmUpFrom: warmUpFrom, SlowStart: micros(slowStart), OverloadWindow: micros(overloadWindow),
 				OverloadFactor: f.options.OverloadFactor},
 			Classes: []routerClass{
-				{classScore, "safe", micros(400 * time.Millisecond), micros(5 * second), 2},
-				{classPage, "safe", micros(250 * time.Millisecond), micros(3 * second), 1},
-				{classOrder, "unsafe", micros(700 * time.Millisecond), micros(3 * second), 3},
+				{classScore, "safe", micros(400 * time.Millisecond), micros(f.options.deadline(5 * second)), 2},
+				{classPage, "safe", micros(250 * time.Millisecond), micros(f.options.deadline(3 * second)), 1},
+				{classOrder, "unsafe", micros(700 * time.Millisecond), micros(f.options.deadline(3 * second)), 3},
 			},
 			Specifics: routerSpecifics{RoutersByZone: []int{0, f.options.KnownRouters}, MiddleMachine: -1, StorageMachine: 1,
 				ClassWrites: []bool{false, false, true}, ClassFreshFor: []int64{0, micros(20 * second), 0},
--- a/loadtest/scaleday.go
+++ b/loadtest/scaleday.go
@@ -33,7 +33,7 @@
 	defer fleet.Close()
 	s := &scaleFleet{Fleet: fleet, size: size}
 	router := s.Routers[0]
-	monitor := startProcessMonitor(router.process.Process.Pid)
+	monitor := startProcessMonitor(router.process.Process.Pid, sampleInterval)
 	load := startPipelinedLoad(router.ListenAddress, settings.Rate, seed)
 	dayErr := s.runDay(day, settings.Length)
 	result := load.stop()
--- a/loadtest/soak.go
+++ b/loadtest/soak.go
@@ -60,22 +60,27 @@
 // soakRun is the run of one seed.
 type soakRun struct {
 	*Fleet
-	settings   SoakSettings
-	start      time.Time
-	history    *soakHistory
-	soakCaches []*soakCache // page caches, then the origin
+	settings    SoakSettings
+	start       time.Time
+	history     *soakHistory
+	soakCaches  []*soakCache // page caches, then the origin
+	seed        uint64
+	maxDeadline time.Duration // of all classes; 0: the usual ones
 
 	mu             sync.Mutex
-	faults         []injectedFault  // in the order of their ends
-	processErrors  []string         // routers that did not exit or start as they should
-	routersInUse   map[*Router]bool // routers that a running fault uses exclusively
+	monitors       map[*Router]*processMonitor // of the running processes
+	use            resourceUse                 // maxima over all processes that have ended
+	goroutines     int                         // the most that any router had
+	faults         []injectedFault             // in the order of their ends
+	processErrors  []string                    // routers that did not exit or start as they should
+	routersInUse   map[*Router]bool            // routers that a running fault uses exclusively
 	drainingCaches map[*soakCache]bool
 }
 
 // runSoak runs one seed from its start to the last answer.
 func runSoak(settings SoakSettings, seed uint64) (*soakRun, error) {
 	s := &soakRun{settings: settings, start: time.Now(), history: newSoakHistory(), routersInUse: map[*Router]bool{},
-		drainingCaches: map[*soakCache]bool{}}
+		drainingCaches: map[*soakCache]bool{}, monitors: map[*Router]*processMonitor{}, seed: seed, maxDeadline: soakMaxDeadline(seed)}
 	for i := range settings.Caches + 1 {
 		cache, err := newSoakCache(endpointName(i), s.history, seed+uint64(i))
 		if err != nil {
@@ -86,13 +91,17 @@
 	}
 	var err error
 	s.Fleet, err = StartFleet(settings.Program, FleetOptions{Routers: settings.Routers, RetryAfter: true, Caches: settings.Caches,
-		KnownRouters: settings.Routers, OverloadFactor: soakOverloadFactor, Sockets: soakSockets(seed),
+		KnownRouters: settings.Routers, OverloadFactor: soakOverloadFactor, Sockets: soakSockets(seed), MemoryMB: soakMemoryMB,
+		MaxDeadline: s.maxDeadline, Operator: soakOperatorFile,
 		Address: func(cache int) string { return s.soakCaches[cache].Addr() },
 		Answer:  func(int, fakes.Request) fakes.Reply { return fakes.Reply{} }})
 	if err != nil {
 		return nil, err
 	}
 	defer s.Close()
+	for _, r := range s.Routers {
+		s.startMonitor(r)
+	}
 	time.Sleep(soakSettleStart)
 	s.run(seed)
 	return s, nil
@@ -102,8 +111,10 @@
 func (s *soakRun) run(seed uint64) {
 	stop := make(chan struct{})
 	var clients, faults sync.WaitGroup
+	var goroutines []*goroutineMonitor
 	for i, r := range s.Routers {
-		clients.Go(func() { newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i)).run(stop) })
+		goroutines = append(goroutines, startGoroutineMonitor(r, soakMonitorInterval))
+		clients.Go(func() { newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i), s.maxDeadline).run(stop) })
 		if hasIdleClients(seed) {
 			clients.Go(func() { holdIdleConns(r.ListenAddress, stop) })
 		}
@@ -114,8 +125,15 @@
 	}
 	faults.Wait()
 	time.Sleep(soakSettleEnd)
+	s.endRouters() // while the clients go on
 	close(stop)
 	clients.Wait()
+	for _, monitor := range goroutines {
+		s.goroutines = max(s.goroutines, monitor.stop())
+	}
+	if s.goroutines > soakMaxGoroutines {
+		s.reportProcessError("a router had %d goroutines, more than %d", s.goroutines, soakMaxGoroutines)
+	}
 }
 
 // soakSockets returns how many descriptors a router may hold in the run of a seed; 0: the default.
@@ -144,8 +162,9 @@
 			}
 		}
 	}
-	return fmt.Sprintf("%d requests, %d served, %d rejected, %d failed, %d attempts, %d faults (%s)", len(h.requests), served,
-		rejected, failed, len(h.attempts), len(s.faults), formatKindCounts(s.faults))
+	return fmt.Sprintf("%d requests, %d served, %d rejected, %d failed, %d attempts, at most %.0f MB, %d descriptors, %d goroutines, "+
+		"%d faults (%s)", len(h.requests), served, rejected, failed, len(h.attempts), s.use.memoryMB, s.use.descriptors, s.goroutines,
+		len(s.faults), formatKindCounts(s.faults))
 }
 
 // printFaults prints the faults, with their start and end in seconds since the start of the seed.
--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -15,6 +15,8 @@
 	history *soakHistory
 	random  *rand.Rand
 	lastTxn uint64
+
+	maxTimeout time.Duration // of a request; 0: that of soakMinTimeoutMillis and soakTimeoutSpreadMillis
 }
 
 const (
@@ -40,8 +42,9 @@
 	// All other values mean that the client does nothing.
 )
 
-func newSoakClient(address string, history *soakHistory, seed uint64) *soakClient {
-	return &soakClient{address: address, history: history, random: rand.New(rand.NewPCG(seed, 9)), lastTxn: seed << 24}
+func newSoakClient(address string, history *soakHistory, seed uint64, maxTimeout time.Duration) *soakClient {
+	return &soakClient{address: address, history: history, random: rand.New(rand.NewPCG(seed, 9)), lastTxn: seed << 24,
+		maxTimeout: maxTimeout}
 }
 
 // run sends requests until stop is closed, and then waits for the answers that are due.
@@ -132,6 +135,9 @@
 	c.lastTxn++
 	message := &rpc.Request{Method: classPage, Txn: c.lastTxn, Item: c.random.Uint64N(soakItems)}
 	message.TimeoutMillis = soakMinTimeoutMillis + c.random.Int64N(soakTimeoutSpreadMillis)
+	if c.maxTimeout > 0 { // a router accepts no longer one
+		message.TimeoutMillis = min(message.TimeoutMillis, c.maxTimeout.Milliseconds())
+	}
 	switch c.random.IntN(8) {
 	case 0:
 		message.Method, message.Item, message.Body = classOrder, c.random.Uint64(), []byte("order")
--- a/loadtest/soakfaults.go
+++ b/loadtest/soakfaults.go
@@ -23,6 +23,9 @@
 	faults := []soakFault{s.pauseRouter, s.pauseRouter, s.terminateRouter, s.terminateRouter, s.terminateRouter, s.killRouter,
 		s.reloadRouter, s.misbehave, s.misbehave, s.resetCache, s.drainCache, s.drainCache, s.purgeObject, s.purgeObject,
 		s.pauseDiscovery, s.breakDiscovery}
+	if hasFloods(s.seed) {
+		faults = append(faults, s.floodRouter, s.floodRouter)
+	}
 	for time.Now().Before(until) {
 		begun := time.Now()
 		if description := faults[random.IntN(len(faults))](random); description != "" {
@@ -77,7 +80,10 @@
 	return s.withRouter(random, func(r *Router) string {
 		address := r.ListenAddress
 		s.history.update(func() { s.history.kills[address] = append(s.history.kills[address], time.Now()) })
-		r.Kill()
+		if r.Kill(); r.endedByItself() {
+			s.reportProcessError("%s: had ended by itself before it was killed: %v", address, r.process.ProcessState)
+		}
+		s.finishMonitor(r)
 		s.startProcess(r)
 		return "kill " + address
 	})
@@ -91,6 +97,7 @@
 	if err := r.Start(); err != nil {
 		s.reportProcessError("%s: did not start again: %v", address, err)
 	}
+	s.startMonitor(r)
 }
 
 // reloadRouter makes a router reload its configuration, one to six times in a row.
--- a/loadtest/soakinvariants.go
+++ b/loadtest/soakinvariants.go
@@ -84,6 +84,9 @@
 // checkAttempt checks that an attempt belongs to a request, and that it was allowed at the time it was made.
 func (h *soakHistory) checkAttempt(a *soakAttempt, report reportViolation) {
 	r := h.requests[a.txn]
+	if isFloodTxn(a.txn) {
+		return
+	}
 	if r == nil {
 		report(a.arrived, "%016x at %s: no client sent this request", a.txn, a.cache)
 		return
--- a/loadtest/soakshutdown.go
+++ b/loadtest/soakshutdown.go
@@ -6,9 +6,28 @@
 	"time"
 )
 
-// soakExitTimeout is how long a router has to end after SIGTERM before the platform may kill it: the longest deadline, taken
-// as 3 s, plus 0.7 s.
-const soakExitTimeout = 3700 * time.Millisecond
+// The platform may kill a router this long after SIGTERM: the longest deadline, counted as soakMaxCountedDeadline at most, and
+// soakKillDelay more.
+const (
+	soakMaxCountedDeadline = 3 * time.Second
+	soakKillDelay          = 700 * time.Millisecond
+)
+
+// soakDeadlines are the longest deadlines of all classes, of which each seed has one. 0 stands for the usual ones.
+var soakDeadlines = []time.Duration{0, time.Second, 1500 * time.Millisecond}
+
+// soakMaxDeadline returns the longest deadline of all classes in the run of a seed, or 0 for the usual ones.
+func soakMaxDeadline(seed uint64) time.Duration {
+	return soakDeadlines[seed%uint64(len(soakDeadlines))]
+}
+
+// exitTimeout returns how long a router has to end after SIGTERM before it is killed.
+func (s *soakRun) exitTimeout() time.Duration {
+	if s.maxDeadline > 0 {
+		return min(s.maxDeadline, soakMaxCountedDeadline) + soakKillDelay
+	}
+	return soakMaxCountedDeadline + soakKillDelay
+}
 
 // signalStep is one signal of a series, and the time until the next.
 type signalStep struct {
@@ -72,7 +91,7 @@
 	return s.withRouter(random, func(r *Router) string {
 		if random.IntN(3) == 0 { // some page caches hang through the whole shutdown
 			for _, cache := range s.soakCaches[:1+random.IntN(len(s.soakCaches))] {
-				cache.misbehave(modeHang, soakExitTimeout)
+				cache.misbehave(modeHang, s.exitTimeout())
 			}
 		}
 		series := drawSignalSeries(random)
@@ -88,9 +107,10 @@
 	})
 }
 
-// awaitExit waits until a router has ended after SIGTERM. After soakExitTimeout it kills the router, as the platform may.
+// awaitExit waits until a router has ended after SIGTERM. After exitTimeout it kills the router, as the platform may.
 // Requests that are lost by such a kill are not excused.
 func (s *soakRun) awaitExit(r *Router, terminated time.Time) {
+	defer s.finishMonitor(r)
 	exited := make(chan error, 1)
 	go func() { exited <- r.wait() }()
 	select {
@@ -98,7 +118,7 @@
 		if err != nil {
 			s.reportProcessError("%s: failed to exit cleanly after SIGTERM: %v", r.ListenAddress, err)
 		}
-	case <-time.After(soakExitTimeout - time.Since(terminated)):
+	case <-time.After(s.exitTimeout() - time.Since(terminated)):
 		r.Signal(syscall.SIGKILL)
 		s.reportProcessError("%s: still running, so killed %v after SIGTERM", r.ListenAddress, time.Since(terminated))
 		<-exited
