--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -33,7 +33,8 @@
 	l.ClientConns = l.Sockets * 7 / 16
 	l.UpstreamConns = l.Sockets * 5 / 16
 	l.DNSConns = l.Sockets / 32
-	// Objects that are being received or sent may take a third of the memory. Apart from them, an open request holds little.
+	// Objects and bodies that are being received or sent, or wait for the event loop, may take a third of the memory. Apart from
+	// them, an open request holds little.
 	l.BufferedBytes = l.MemoryMB * mB / 3
 	l.OpenRequests = l.MemoryMB * mB / (64 * kB)
 }
--- a/internal/discovery/delivery.go
+++ b/internal/discovery/delivery.go
@@ -47,8 +47,8 @@
 	return q.unapplied >= maxUnappliedEntries
 }
 
-// hasRoom reports whether the service may be asked for further events after the queue was full.
-func (q *eventQueue) hasRoom() bool {
+// mayResume reports whether the service may be asked for further events after the queue was full.
+func (q *eventQueue) mayResume() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.unapplied <= maxUnappliedEntries/2
--- a/internal/discovery/delivery_test.go
+++ b/internal/discovery/delivery_test.go
@@ -49,13 +49,13 @@
 	for position <= sent {
 		switch err := deliver(position); {
 		case errors.Is(err, errTooManyUnapplied):
-			if w.queue.hasRoom() {
+			if w.queue.mayResume() {
 				t.Fatalf("left at position %d with room in the queue", position)
 			}
 			left++
 			w.queue.flush()
 			handler.applyAll()
-			if !w.queue.hasRoom() {
+			if !w.queue.mayResume() {
 				t.Fatal("no room after all events were applied")
 			}
 		case err != nil:
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -150,15 +150,15 @@
 			retry.reset()
 		case <-time.After(wait):
 		}
-		if !w.awaitRoom(stop) {
+		if !w.awaitApplied(stop) {
 			return
 		}
 	}
 }
 
-// awaitRoom waits until the handler has applied most of the events that were delivered. It returns false if stop is closed.
-func (w *Watcher) awaitRoom(stop <-chan struct{}) bool {
-	for !w.queue.hasRoom() {
+// awaitApplied waits until the handler has applied most of the events that were delivered. It returns false if stop is closed.
+func (w *Watcher) awaitApplied(stop <-chan struct{}) bool {
+	for !w.queue.mayResume() {
 		select {
 		case <-stop:
 			return false
--- a/internal/frontend/msgpackrpc/admission.go
+++ b/internal/frontend/msgpackrpc/admission.go
@@ -17,10 +17,10 @@
 	admissionFactor = 2
 
 	// Once sharedNumerator / sharedDenominator of the open requests that the core takes are in use, connections with
-	// smallShare requests or more get no further ones, so that those who send without pause leave room for the others.
+	// fewRequests requests or more get no further ones, so that those who send without pause leave room for the others.
 	sharedNumerator   = 3
 	sharedDenominator = 4
-	smallShare        = 4
+	fewRequests       = 4
 
 	// requestOverheadBytes is the memory that a request takes in the core besides its body.
 	requestOverheadBytes = 1 << 10
@@ -37,7 +37,7 @@
 // admitted on the same connection.
 func (a *serverAdmission) admit(size, onConnection int) (refused core.RefusalReason, ok bool) {
 	limit := admissionFactor * a.openRequests
-	if onConnection >= smallShare {
+	if onConnection >= fewRequests {
 		limit = a.openRequests * sharedNumerator / sharedDenominator
 	}
 	if a.requests.Add(1) > limit {
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -449,7 +449,7 @@
 	if admitted != 75 {
 		t.Errorf("the busy connection has %d requests, want 75", admitted)
 	}
-	for id := uint64(1); id <= smallShare; id++ {
+	for id := uint64(1); id <= fewRequests; id++ {
 		if _, _, ok := quiet.admit(id, 1); !ok {
 			t.Errorf("request %d of the quiet connection is refused", id)
 		}
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -150,7 +150,7 @@
 // last bytes written.
 func (c *Conn) lingerClose() {
 	c.notifyClosed()
-	c.lingerOnce.Do(func() {
+	c.closing.linger.Do(func() {
 		if c.limits.LingerTimeout <= 0 || !c.shutdownWrites() {
 			c.Close()
 			return
@@ -168,16 +168,16 @@
 }
 
 // notifyClosed calls Handler.Closed, once.
-func (c *Conn) notifyClosed() { c.notifyOnce.Do(c.handler.Closed) }
+func (c *Conn) notifyClosed() { c.closing.notify.Do(c.handler.Closed) }
 
 // transportClosed is netpoll's callback before it frees its buffers. Writing to a freed buffer panics in netpoll, and a
 // peer may close the connection at any time during a write, so flushMu serializes the two.
 func (c *Conn) transportClosed(netpoll.Connection) error {
-	c.closeOnce.Do(func() {
+	c.closing.cleanup.Do(func() {
 		if c.task != nil {
 			c.task.release() // netpoll's cleanup, which follows, waits until the poller is done with the connection
 		}
-		c.partialTimer.end()
+		c.input.timer.end()
 		c.reserve(0) // read can't run any more
 		c.input.partial = nil
 		c.flushMu.Lock() // does not block for long: a write that waits for buffer space has already been woken
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -66,19 +66,23 @@
 	queue              sendQueue
 
 	input          inputProgress
-	partialTimer   partialTimer
 	lastActive     atomic.Int64 // reading of package clock when bytes were last received or written
 	pendingReplies atomic.Int32 // replies that the handler has not given yet
 	evicted        atomic.Bool  // the connection was evicted, or has closed
 
-	closeOnce  sync.Once // runs the cleanup after the transport has closed
-	notifyOnce sync.Once // calls Handler.Closed
-	lingerOnce sync.Once // starts the lingering close
+	closing closeSteps
 
 	flushMu      sync.Mutex // held while netpoll's output buffer is in use
 	buffersFreed bool       // netpoll has freed that buffer or is about to; guarded by flushMu
 }
 
+// closeSteps holds the steps of a close that are taken once.
+type closeSteps struct {
+	cleanup sync.Once // after the transport has closed
+	notify  sync.Once // calls Handler.Closed
+	linger  sync.Once // starts the lingering close
+}
+
 // sendQueue holds the messages that wait to be written. Conn.mu guards it.
 type sendQueue struct {
 	messages [][]byte
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -16,6 +16,7 @@
 	consumedOnce atomic.Bool   // the handler has consumed at least one byte
 	partialSince atomic.Int64  // reading of package clock when the incomplete message began; 0: no message is incomplete
 	taken        atomic.Uint64 // bytes that were taken out of netpoll's buffer, to be handled or discarded
+	timer        partialTimer  // ends a message that stays incomplete
 
 	// Only the goroutine of Conn.read uses these fields.
 	discarded int    // bytes that arrived after this side began to close
@@ -149,7 +150,7 @@
 func (c *Conn) awaitRest() {
 	began := time.Duration(c.input.partialSince.Load())
 	if began == 0 {
-		c.partialTimer.stop()
+		c.input.timer.stop()
 		return
 	}
 	now := clock.Now()
@@ -157,7 +158,7 @@
 	if c.limits.MessageTimeout > 0 { // a peer that sends single bytes must not keep a message incomplete forever
 		deadline = min(deadline, began+c.limits.MessageTimeout)
 	}
-	c.partialTimer.start(deadline, max(deadline-now, time.Millisecond), c.closeIncomplete)
+	c.input.timer.start(deadline, max(deadline-now, time.Millisecond), c.closeIncomplete)
 }
 
 // unreadInputDelay is how long a message that is out of time waits for bytes of it that have arrived in the socket: a process
@@ -167,12 +168,12 @@
 // closeIncomplete closes the connection if the rest of its incomplete message has not arrived in time.
 func (c *Conn) closeIncomplete() {
 	now := clock.Now()
-	switch deadline := c.partialTimer.deadline(); {
+	switch deadline := c.input.timer.deadline(); {
 	case deadline == 0 || !c.input.isPartial():
 	case now < deadline:
-		c.partialTimer.start(deadline, deadline-now, c.closeIncomplete)
+		c.input.timer.start(deadline, deadline-now, c.closeIncomplete)
 	case c.HasUnreadInput() && !c.isEnding():
-		c.partialTimer.start(deadline, unreadInputDelay, c.closeIncomplete)
+		c.input.timer.start(deadline, unreadInputDelay, c.closeIncomplete)
 	default:
 		c.CloseAfterReplies(CloseInputEnded)
 	}
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -60,14 +60,14 @@
 
 // floodResult is what was seen of one flood.
 type floodResult struct {
-	use         resourceUse
-	goroutines  int
-	steady      steadyResult
-	flood       floodCounts
-	mayLoseOwn  bool // requests of the flood may be lost
-	endedAfter  time.Duration
-	endError    error // how the process ended; nil: with exit status 0
-	endedInTime bool
+	use            resourceUse
+	goroutines     int
+	steady         steadyResult
+	flood          floodCounts
+	mayLoseAnswers bool // requests of the flood may be lost
+	endedAfter     time.Duration
+	endError       error // how the process ended; nil: with exit status 0
+	endedInTime    bool
 }
 
 // faults returns the bounds that the router broke.
@@ -82,7 +82,7 @@
 	add(r.steady.late > 0, "late answers")
 	add(r.steady.lost > 0 || r.steady.answeredTwice > 0, "steady client without exactly one answer")
 	add(r.steady.answered() == 0, "steady client never answered")
-	add(!r.mayLoseOwn && r.flood.lost > 0, "requests of the flood without an answer")
+	add(!r.mayLoseAnswers && r.flood.lost > 0, "requests of the flood without an answer")
 	add(r.flood.answeredTwice > 0, "requests of the flood answered twice")
 	add(!r.endedInTime, "did not end in time")
 	add(r.endError != nil, fmt.Sprintf("ended with: %v", r.endError))
@@ -136,7 +136,7 @@
 	flood := kind.start(run)
 	time.Sleep(settings.Length)
 
-	result := &floodResult{mayLoseOwn: kind.mayLoseOwn}
+	result := &floodResult{mayLoseAnswers: kind.mayLoseAnswers}
 	time.AfterFunc(floodConnectTime, steady.stopConnecting)
 	result.end(run)
 	close(run.stop)
--- a/loadtest/floodkinds.go
+++ b/loadtest/floodkinds.go
@@ -7,12 +7,12 @@
 
 // floodKind is a kind of flood: what the peers of the router do, and what is started against it.
 type floodKind struct {
-	name       string
-	discovery  floodStream             // what the discovery service sends
-	cache      floodStream             // what page caches send, besides their answers
-	log        func() (logPipe, error) // takes the place of the router's log; nil: a file
-	mayLoseOwn bool                    // the flood breaks the protocol in a way that costs it its own answers
-	start      func(run *floodRun) *sync.WaitGroup
+	name           string
+	discovery      floodStream             // what the discovery service sends
+	cache          floodStream             // what page caches send, besides their answers
+	log            func() (logPipe, error) // takes the place of the router's log; nil: a file
+	mayLoseAnswers bool                    // the flood breaks the protocol in a way that costs it its own answers
+	start          func(run *floodRun) *sync.WaitGroup
 }
 
 // startNothing is the start of a flood that comes from the peers of the router.
@@ -22,28 +22,28 @@
 var floodKinds = []floodKind{
 	{name: "one-client", start: startFloodClients(1, pageRequests, true)},
 	{name: "clients", start: startFloodClients(40, pageRequests, true)},
-	{name: "clients-unread", mayLoseOwn: true, start: startFloodClients(40, pageRequests, false)},
+	{name: "clients-unread", mayLoseAnswers: true, start: startFloodClients(40, pageRequests, false)},
 	{name: "bodies", start: startFloodClients(40, bodyRequests, true)},
-	{name: "bodies-unread", mayLoseOwn: true, start: startFloodClients(40, bodyRequests, false)},
+	{name: "bodies-unread", mayLoseAnswers: true, start: startFloodClients(40, bodyRequests, false)},
 	{name: "health-checks", start: startFloodClients(40, healthRequests, true)},
-	{name: "cancels", mayLoseOwn: true, start: startFloodClients(40, cancelNotifications, true)},
-	{name: "half-messages", mayLoseOwn: true, start: startHalfMessages(100)},
-	{name: "churn", mayLoseOwn: true, start: startChurn(20)},
+	{name: "cancels", mayLoseAnswers: true, start: startFloodClients(40, cancelNotifications, true)},
+	{name: "half-messages", mayLoseAnswers: true, start: startHalfMessages(100)},
+	{name: "churn", mayLoseAnswers: true, start: startChurn(20)},
 	{name: "stopped", start: startStoppedLoad(80)},
 	{name: "discovery-events", discovery: purgeEvents, start: startNothing},
 	{name: "discovery-comments", discovery: comments, start: startNothing},
 	{name: "discovery-lists", discovery: completeLists, start: startNothing},
 	{name: "discovery-line", discovery: endlessLine, start: startNothing},
 	{name: "discovery-reconnects", discovery: immediateEnds, start: startNothing},
-	{name: "cache-answers", cache: unaskedAnswers, start: startNothing},
-	{name: "cache-bodies", cache: unaskedBodies, start: startNothing},
+	{name: "cache-answers", cache: unsolicitedAnswers, start: startNothing},
+	{name: "cache-bodies", cache: unsolicitedBodies, start: startNothing},
 	{name: "cache-line", cache: endlessLine, start: startNothing},
-	{name: "dns-udp", mayLoseOwn: true, start: startDNSDatagrams(8)},
-	{name: "dns-tcp", mayLoseOwn: true, start: startDNSConnections(20)},
-	{name: "admin", mayLoseOwn: true, start: startAdminRequests(32)},
-	{name: "agent-check", mayLoseOwn: true, start: startAgentChecks(32)},
-	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseOwn: true},
-	{name: "log-closed", log: closedPipe, start: startMalformed(4), mayLoseOwn: true},
+	{name: "dns-udp", mayLoseAnswers: true, start: startDNSDatagrams(8)},
+	{name: "dns-tcp", mayLoseAnswers: true, start: startDNSConnections(20)},
+	{name: "admin", mayLoseAnswers: true, start: startAdminRequests(32)},
+	{name: "agent-check", mayLoseAnswers: true, start: startAgentChecks(32)},
+	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseAnswers: true},
+	{name: "log-closed", log: closedPipe, start: startMalformed(4), mayLoseAnswers: true},
 }
 
 // FloodKinds returns the names of all kinds of flood.
--- a/loadtest/floodpeers.go
+++ b/loadtest/floodpeers.go
@@ -163,13 +163,13 @@
 // immediateEnds ends the connection at once.
 func immediateEnds(*floodPeers, net.Conn) {}
 
-// unaskedAnswers sends answers to requests that nobody sent.
-func unaskedAnswers(_ *floodPeers, conn net.Conn) {
+// unsolicitedAnswers sends answers to requests that nobody sent.
+func unsolicitedAnswers(_ *floodPeers, conn net.Conn) {
 	writeUntilError(conn, bytes.Repeat([]byte("0123456789abcdef BROKE - 0\r\n\r\n"), 2<<10))
 }
 
-// unaskedBodies sends answers of the largest size to requests that nobody sent.
-func unaskedBodies(_ *floodPeers, conn net.Conn) {
+// unsolicitedBodies sends answers of the largest size to requests that nobody sent.
+func unsolicitedBodies(_ *floodPeers, conn net.Conn) {
 	const size = 240_000
 	writeUntilError(conn, fmt.Appendf(nil, "0123456789abcdef DONE res=cached,version=v %d\r\n%s\r\n", size, bytes.Repeat([]byte("x"), size)))
 }
--- a/loadtest/soak.go
+++ b/loadtest/soak.go
@@ -71,6 +71,7 @@
 	monitors       map[*Router]*processMonitor // of the running processes
 	use            resourceUse                 // maxima over all processes that have ended
 	goroutines     int                         // the most that any router had
+	floods         uint64                      // so far
 	faults         []injectedFault             // in the order of their ends
 	processErrors  []string                    // routers that did not exit or start as they should
 	routersInUse   map[*Router]bool            // routers that a running fault uses exclusively
--- a/loadtest/soakprocesses.go
+++ b/loadtest/soakprocesses.go
@@ -70,13 +70,25 @@
 // isFloodTxn reports whether a txn belongs to a flood, whose requests are not recorded.
 func isFloodTxn(txn uint64) bool { return txn&floodTxnMark != 0 }
 
+// soakFloodConn returns the number of a connection of a flood, which no other connection of the run has. conn is its number within
+// the flood: that of the client, and from bit 10 on how often the client has connected before.
+func soakFloodConn(flood, conn uint64) uint64 {
+	const clientBits, roundBits, roundShift = 4, 6, 10
+	client, round := conn&(1<<clientBits-1), conn>>roundShift&(1<<roundBits-1)
+	return floodTxnMark>>floodTxnBits | flood<<(clientBits+roundBits) | round<<clientBits | client
+}
+
 // floodRouter has clients flood a router for a while.
 func (s *soakRun) floodRouter(random *rand.Rand) string {
 	r := s.Routers[random.IntN(len(s.Routers))] // another fault may use it, too
 	run := &floodRun{router: r, stop: make(chan struct{}), counts: &floodCounter{}}
 	run.counts.markEnd() // the router may end at any time
+	s.mu.Lock()
+	s.floods++
+	number := s.floods
+	s.mu.Unlock()
 	flood := startFloodClients(soakFloodConns, func(b []byte, conn, id uint64) ([]byte, bool) {
-		return pageRequests(b, floodTxnMark>>floodTxnBits|conn, id)
+		return pageRequests(b, soakFloodConn(number, conn), id)
 	}, true)(run)
 	length := time.Duration(200+random.IntN(1000)) * time.Millisecond
 	time.Sleep(length)
