Give every panic an owner: callbacks end their connection, other goroutines log and end

Panics of a handler's Closed and Drained ran in goroutines of netpoll and of the writer, where they ended the process; one of the event loop ended it with a trace on standard error, but now that the log is written in the background, lines that waited would have been lost. The former are logged, counted and end their connection. Event loop, discovery, monitor and Serve log 'goroutine panicked' with the stack, wait 0.1 s at most for the log, and let the panic end the process. Netpoll's own goroutines outside our callbacks, and timers, keep Go's default: a trace and exit status 2.

--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -175,7 +175,10 @@
 			return err
 		}
 	}
-	go func() { r.frontEndFailures <- frontEndFailure{clientFrontEnd, r.clients.Serve()} }()
+	go func() {
+		defer logging.ReportPanic(log)
+		r.frontEndFailures <- frontEndFailure{clientFrontEnd, r.clients.Serve()}
+	}()
 	r.listenForSuccessor()
 	r.core.Post(func() {
 		r.core.ReleaseStart()
@@ -264,9 +267,13 @@
 func (r *router) startCore() {
 	r.onClose(func() { close(r.stop) })
 	r.core.HoldStart()
-	go r.core.Run(r.stop)
-	go r.watcher.Run(r.stop)
-	go (&resourceMonitor{limits: r.cfg.Limits, snapshot: r.core.Snapshot, buffered: r.budget.Used}).run(r.stop)
+	monitor := &resourceMonitor{limits: r.cfg.Limits, snapshot: r.core.Snapshot, buffered: r.budget.Used}
+	for _, run := range []func(stop <-chan struct{}){r.core.Run, r.watcher.Run, monitor.run} {
+		go func() {
+			defer logging.ReportPanic(log)
+			run(r.stop)
+		}()
+	}
 }
 
 // startOtherFrontEnds starts all front ends except that of clients.
@@ -275,7 +282,10 @@
 	r.frontEndFailures = make(chan frontEndFailure, len(r.otherFrontEnds)+1)
 	for _, front := range r.otherFrontEnds {
 		r.onClose(front.Close)
-		go func() { r.frontEndFailures <- frontEndFailure{front.name, front.Serve()} }()
+		go func() {
+			defer logging.ReportPanic(log)
+			r.frontEndFailures <- frontEndFailure{front.name, front.Serve()}
+		}()
 	}
 }
 
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -173,6 +173,7 @@
 // transportClosed is netpoll's callback before it frees its buffers. Writing to a freed buffer panics in netpoll, and a
 // peer may close the connection at any time during a write, so flushMu serializes the two.
 func (c *Conn) transportClosed(netpoll.Connection) error {
+	defer recoverHandler()
 	c.closing.cleanup.Do(func() {
 		if c.task != nil {
 			c.task.release() // netpoll's cleanup, which follows, waits until the poller is done with the connection
--- a/internal/netio/flood_test.go
+++ b/internal/netio/flood_test.go
@@ -103,6 +103,28 @@
 	}
 }
 
+// panickingCallbacks is a handler that echoes, and panics once its echo is written and when it is closed.
+type panickingCallbacks struct{ echo }
+
+func (panickingCallbacks) Drained() { panic("drained") }
+func (panickingCallbacks) Closed()  { panic("closed") }
+
+// Panics of a handler's other callbacks, which run in goroutines of the writer and of netpoll, end its connection only, too.
+func TestCallbackPanicsEndOnlyTheirConnection(t *testing.T) {
+	before := HandlerPanics()
+	s := serve(t, 100, testLimits, func(c *Conn) Handler { return panickingCallbacks{echo{c}} })
+	bad := dial(t, s.Addr().String())
+	expectEcho(t, bad)
+	expectClosed(t, bad)
+	for begun := time.Now(); HandlerPanics()-before < 2 && time.Since(begun) < 10*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	if got := HandlerPanics() - before; got != 2 {
+		t.Errorf("%d panics counted, want 2", got)
+	}
+	expectEcho(t, dial(t, s.Addr().String()))
+}
+
 // A peer that sends before anything was sent to it is not connected to, as netpoll would read from it without a limit.
 func TestDialRefusesUnsolicitedInput(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/netio/pollergate.go
+++ b/internal/netio/pollergate.go
@@ -126,7 +126,19 @@
 // served on.
 func recoverHandler() {
 	if cause := recover(); cause != nil {
-		handlerPanics.Add(1)
-		log.Error("connection handler panicked", logging.KeyError, cause, "stack", string(debug.Stack()))
+		reportHandlerPanic(cause)
 	}
 }
+
+// recoverAndClose is recoverHandler for a goroutine that netpoll does not know.
+func (c *Conn) recoverAndClose() {
+	if cause := recover(); cause != nil {
+		reportHandlerPanic(cause)
+		c.Close()
+	}
+}
+
+func reportHandlerPanic(cause any) {
+	handlerPanics.Add(1)
+	log.Error("connection handler panicked", logging.KeyError, cause, "stack", string(debug.Stack()))
+}
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -55,6 +55,7 @@
 
 // writeQueued writes queued messages until none is left or the transport has closed. At most one goroutine runs it.
 func (c *Conn) writeQueued() {
+	defer c.recoverAndClose()
 	_ = c.transport.SetWriteTimeout(maxWriteTimeoutsPerWrite * c.limits.WriteTimeout) // writeWatch applies WriteTimeout
 	for {
 		batch, size, linger := c.nextBatch()
