--- a/cmd/hillknot/cluster.go
+++ b/cmd/hillknot/cluster.go
@@ -23,11 +23,14 @@
 // must first have told the predecessor, if there is one, that this process takes its place.
 func joinCluster(cfg *config.Config, c *core.Core, shared *core.ClusterState, stop <-chan struct{}) (reloader, error) {
 	var received packetReceivers
+	incoming := &incomingMessages{post: c.Post}
 	members, err := membership.New(cfg.Name, cfg.Cluster,
-		func(messages []state.Message) { c.Post(func() { c.ReceiveGossip(messages) }) },
+		func(messages []state.Message) {
+			incoming.receive(len(messages)*incomingOverheadBytes, func() { c.ReceiveGossip(messages) })
+		},
 		membership.PacketHandlers{
-			Orders: func(packet []byte) { c.Post(func() { received.receiveOrderPacket(packet) }) },
-			Credit: func(packet []byte) { c.Post(func() { received.receiveCreditPacket(packet) }) },
+			Orders: func(packet []byte) { incoming.receive(len(packet), func() { received.receiveOrderPacket(packet) }) },
+			Credit: func(packet []byte) { incoming.receive(len(packet), func() { received.receiveCreditPacket(packet) }) },
 		})
 	if err != nil {
 		return nil, err
