--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -66,12 +66,12 @@
 
 // receive passes received bytes to the handler, or discards them if this side has begun to close.
 func (c *Conn) receive(received []byte) {
-	if !c.beginDelivery() {
-		c.input.taken.Add(uint64(len(received)))
+	accepted := c.beginDelivery()
+	c.input.taken.Add(uint64(len(received))) // only now, so that the bytes count as unread or as being handled at any time
+	if !accepted {
 		c.discard(len(received))
 		return
 	}
-	c.input.taken.Add(uint64(len(received)))
 	c.lastActive.Store(int64(clock.Now()))
 	buf := received
 	if len(c.input.partial) > 0 {
