--- a/review/standin/lateclaim.go
+++ b/review/standin/lateclaim.go
@@ -10,7 +10,7 @@
 
 const (
 	orderLimit  = 3 * time.Second         // for which a client waits for an order
-	claimAfter  = 2900 * time.Millisecond // after which it asks another router
+	claimAfter  = 2850 * time.Millisecond // after which it asks another router
 	poorDelay   = 300 * time.Millisecond  // of a poor link, each way
 	orderCount  = 40
 	orderSpread = time.Second // within which the orders are sent
