--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -178,9 +179,24 @@
 	}
 }
 
-// awaitReady waits until a router answers a health check with true.
-func awaitReady(address string, timeout time.Duration) error {
+// stayAway returns for how long a refusal asks the client to stay away, in the field later.
+func (a answer) stayAway() time.Duration {
+	text, _ := a.fields["later"].([]byte)
+	millis, err := strconv.Atoi(string(text))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// awaitReady waits until a router answers a health check with true, or has ended.
+func awaitReady(address string, timeout time.Duration, ended <-chan struct{}) error {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-ended:
+			return fmt.Errorf("router at %s has ended", address)
+		default:
+		}
 		c, err := connect(address)
 		if err != nil {
 			continue
--- a/review/standin/keyed.go
+++ b/review/standin/keyed.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -48,6 +50,7 @@
 	p.mu.Unlock()
 	if !stopped {
 		a.done("fetched_root", time.Now(), []byte(a.endpoint.name))
+		p.note(a.endpoint.name, "answers %s: DONE", a.id)
 	}
 }
 
@@ -74,6 +77,10 @@
 	j.publish(hosts(true, cache("s-1", 1, "ready"), cache("s-2", 2, "ready"),
 		instance("p-1", endpoints["p-1"].address, "upper", "parent", 0, "ready"),
 		instance("o-1", endpoints["o-1"].address, "upper", "origin", 0, "ready")))
+	for _, name := range []string{"s-1", "s-2", "p-1", "o-1"} {
+		r.note("test", "%s is in location and cell: %s", name, p.cells[name])
+	}
+	r.note("test", "class part-page is keyed, group cell, window 5 s; requests may go straight to parents and the origin")
 	router, err := p.startKeyedRouter(j)
 	if err != nil {
 		return false, err
@@ -91,6 +98,9 @@
 		answers[txn] = c.send("part-page", fields, nil)
 	}
 	time.Sleep(100 * time.Millisecond) // the page caches have got the requests
+	if begun := p.begunAt("s-1"); begun == 0 {
+		return false, errors.New("s-1 has got no request")
+	}
 	if r.trouble {
 		r.note("journal", "s-1 drains")
 		j.publish(hosts(false, cache("s-1", 1, "draining")))
@@ -107,6 +117,19 @@
 	return p.check()
 }
 
+// begunAt returns how many requests an endpoint has got.
+func (p *keyedPlay) begunAt(endpoint string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, names := range p.asked {
+		if slices.Contains(names, endpoint) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *keyedPlay) startKeyedRouter(j *journal) (*router, error) {
 	listen, err := freeAddress()
 	if err != nil {
