balancer: one file decides on repeats; the trace says why an endpoint was allowed

The idempotency rule stood in two functions (mayRetry, dedupAllows), and nothing recorded its result.

The rule is now in balancer/repeats.go as RepeatRule.Check, with a verdict that names the reason. SendAttempt carries the verdict, and the debug line `attempt started` has it as `repeat`, beside the endpoint's zone and cell. No decision changes.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -18,6 +18,7 @@
 	CachedOnly    bool          // the source may only serve what it has cached
 	Revalidate    bool          // serve an aging copy, and fetch a new one in the background
 	MayHaveRun    bool          // an earlier attempt of the request may have run
+	Repeat        RepeatVerdict // what the idempotency rule says of the endpoint
 }
 
 // Reject is a final answer: the request has not run, and the client may safely retry.
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -11,9 +11,9 @@
 // the second home takes over when the home fails.
 //
 // The interface is in settings.go, events.go, actions.go and status.go, the state in balancer.go, state.go, classes.go
-// and objects.go. Each kind of decision has a file: requests.go (life cycle of a request), routing.go and hashing.go
-// (choice of endpoints), admission.go (concurrency limits), attempts.go (life cycle of an attempt), outcomes.go and
-// health.go (outlier detection), slowstart.go, purges.go, endpoints.go (the endpoint list), and resolve.go (answers to
-// DNS resolvers). Their tuned values are in tuning.go. snapshot.go copies the state from one process of a router to
-// the next.
+// and objects.go. Each kind of decision has a file: requests.go (life cycle of a request), repeats.go (the idempotency
+// rule), routing.go and hashing.go (choice of endpoints), admission.go (concurrency limits), attempts.go (life cycle of
+// an attempt), outcomes.go and health.go (outlier detection), slowstart.go, purges.go, endpoints.go (the endpoint
+// list), and resolve.go (answers to DNS resolvers). Their tuned values are in tuning.go. snapshot.go copies the state
+// from one process of a router to the next.
 package balancer
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -36,7 +36,8 @@
 		b.endpoints.byID[listed.ID] = e
 	}
 	b.unindex(e)
-	e.role, e.zone, e.cell, e.weight, e.state = b.roleOf(listed), listed.Zone, listed.Cell, listed.Weight, listed.State
+	e.role, e.placement = b.roleOf(listed), Placement{Zone: listed.Zone, Cell: listed.Cell}
+	e.weight, e.state = listed.Weight, listed.State
 	if e.role != roleCache {
 		e.missRate = 1 // an attempt that bypasses the caches is always a transfer on the zone's link
 	}
@@ -119,7 +120,7 @@
 }
 
 func (b *Balancer) isLocalCache(e *endpoint) bool {
-	return e.role == roleCache && e.zone == b.settings.Topology.Zone
+	return e.role == roleCache && e.placement.Zone == b.settings.Topology.Zone
 }
 
 // countCache adds an endpoint to the counts of caches with sign 1, and subtracts it with sign -1. It ignores endpoints
--- a/balancer/hashing.go
+++ b/balancer/hashing.go
@@ -76,7 +76,7 @@
 func (c *choice) preference(e *endpoint) preference {
 	b, r := c.balancer, c.request
 	full := e.role == roleCache &&
-		(float64(e.inFlight) >= e.concurrencyLimit*b.costAllowance(r) || !r.dedupAllows(e))
+		(float64(e.inFlight) >= e.concurrencyLimit*b.costAllowance(r) || !b.checkRepeat(r, e).Allowed())
 	switch {
 	case e == c.excluded || full || !e.inService() || !b.withinWarmUpBudget(e, r):
 		return ineligible
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -110,22 +110,11 @@
 	return served > 0 && b.now-served < likelyCachedFor && served > b.purgedAt(r)
 }
 
-// mayRetry reports whether the idempotency rule allows another attempt: either no earlier attempt can have run, or a
-// repeat does no harm in the request's class. The cluster state also limits retries after an attempt that may have
-// run, over all routers together.
+// mayRetry reports whether another attempt is allowed at any endpoint. The cluster state also limits retries after an
+// attempt that may have run, over all routers together.
 func (b *Balancer) mayRetry(r *request) bool {
-	idempotency := r.class.Idempotency
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		if a.open() && !(b.settings.Capabilities.Hedging && idempotency == Idempotent) {
-			return false
-		}
-		if a.state == attemptNeverRan || idempotency == Idempotent {
-			continue
-		}
-		if idempotency == NotIdempotent || b.now-a.sentAt >= r.class.DedupWindow {
-			return false
-		}
+	if !b.checkRepeatAnywhere(r).Allowed() {
+		return false
 	}
 	return !r.mayHaveRun() || b.settings.ClusterState.AdmitRetry(b.now)
 }
--- a/balancer/routing.go
+++ b/balancer/routing.go
@@ -26,10 +26,10 @@
 // routeDirectWrite alternates between the origin and the home parent, starting with the origin.
 func (b *Balancer) routeDirectWrite(r *request, home, origin *endpoint) attempt {
 	target := origin
-	if home != nil && (!r.dedupAllows(target) || len(r.attempts)%2 == 1 && b.usable(home)) {
+	if home != nil && (!b.checkRepeat(r, target).Allowed() || len(r.attempts)%2 == 1 && b.usable(home)) {
 		target = home
 	}
-	if !r.dedupAllows(target) {
+	if !b.checkRepeat(r, target).Allowed() {
 		return attempt{}
 	}
 	return attempt{endpoint: target, source: target}
@@ -162,24 +162,6 @@
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.avoidOnRetry == e })
 }
 
-// dedupAllows reports whether deduplication allows an attempt at an endpoint: all earlier attempts that may have run
-// must be within the same deduplication scope as the endpoint.
-func (r *request) dedupAllows(e *endpoint) bool {
-	if r.class.Idempotency != IdempotentByKey || r.class.DedupScope == DedupEverywhere {
-		return true
-	}
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		if a.state == attemptNeverRan {
-			continue
-		}
-		if a.endpoint.zone != e.zone || r.class.DedupScope == DedupInCell && a.endpoint.cell != e.cell {
-			return false
-		}
-	}
-	return true
-}
-
 // servesKey reports whether an endpoint serves a key now. The fraction of its range that it serves rises linearly after
 // a start and shrinks while the endpoint is slower than its peers. The key's hash decides, so that all routers agree.
 func (b *Balancer) servesKey(key uint64, e *endpoint) bool {
--- a/balancer/routing_test.go
+++ b/balancer/routing_test.go
@@ -72,9 +72,9 @@
 		r := newRig(t, settings, list)
 		send := r.request("read", object)
 		for _, retry := range sentAttempts(r.finish(send, 0, Reset, NoDetail)) {
-			if r.balancer.endpoints.byID[retry.Endpoint].cell != r.balancer.endpoints.byID[send.Endpoint].cell {
+			if r.balancer.endpoints.byID[retry.Endpoint].placement.Cell != r.balancer.endpoints.byID[send.Endpoint].placement.Cell {
 				t.Errorf("object %d: first attempt in cell %d, retry in another", object,
-					r.balancer.endpoints.byID[send.Endpoint].cell)
+					r.balancer.endpoints.byID[send.Endpoint].placement.Cell)
 			}
 		}
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -23,8 +23,7 @@
 type endpoint struct {
 	id        EndpointID
 	role      role
-	zone      string
-	cell      int
+	placement Placement
 	weight    float64
 	state     EndpointState
 	startedAt time.Duration // time of the latest start; 0: long ago
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -15,6 +15,7 @@
 	State balancer.EndpointState
 
 	kind       string
+	placement  balancer.Placement
 	moduleID   balancer.EndpointID
 	startStamp clock.Stamp   // of the latest start
 	startedAt  time.Duration // time of the latest start, on the core's clock; 0: long ago
@@ -99,6 +100,7 @@
 		c.upstream.CloseEndpoint(e) // another process is there now
 	}
 	e.Addr, e.State, e.kind = update.Addr, update.State, update.Kind
+	e.placement = balancer.Placement{Zone: update.Zone, Cell: update.Cell}
 	c.endpoints.byID[id] = e
 	if c.extensions.cluster != nil {
 		c.extensions.cluster.updateWarmUp(e)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -36,7 +36,8 @@
 			source = a.Source.ID
 		}
 		log.Debug("attempt started", logging.KeySequence, a.owner.id, logging.KeyAttempt, a.Index,
-			logging.KeyEndpoint, a.Endpoint.ID, logging.KeySource, source,
+			logging.KeyEndpoint, a.Endpoint.ID, logging.KeyZone, a.Endpoint.placement.Zone,
+			logging.KeyCell, a.Endpoint.placement.Cell, logging.KeyRepeat, a.Decision.Repeat, logging.KeySource, source,
 			logging.KeyCachePriority, a.Decision.CachePriority, logging.KeyMaxAge, a.Decision.MaxAge)
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -21,6 +21,9 @@
 	KeyClass         = "class"          // the class of a request
 	KeyAccount       = "account"        // the prepaid account of a request
 	KeyEndpoint      = "endpoint"       // a page cache, parent or origin
+	KeyZone          = "zone"           // the zone in which an endpoint is listed
+	KeyCell          = "cell"           // the cell in which an endpoint is listed
+	KeyRepeat        = "repeat"         // what the idempotency rule says of an attempt, given the earlier ones of its request
 	KeySource        = "source"         // the endpoint from which another one fills its cache; "none" if it does not fill it
 	KeyObject        = "object"         // the object of a request
 	KeyPart          = "part"           // the part of an object that is requested
