--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -10,7 +10,7 @@
 func (b *Balancer) sendAttempt(r *request, a attempt) {
 	a.sentAt, a.state = b.now, attemptInFlight
 	send := SendAttempt{ID: r.ID, Attempt: len(r.attempts), Endpoint: a.endpoint.id, Source: a.source.id,
-		CachedOnly: a.cachedOnly, MayHaveRun: r.mayHaveRun(), Repeat: b.checkRepeat(r, a.endpoint)}
+		CachedOnly: a.cachedOnly, MayHaveRun: r.mayHaveRun(), Repeat: a.repeat}
 	if !b.isWrite(r) {
 		// An object requested again ranks above one requested once, so that a scan doesn't evict popular objects.
 		send.CachePriority = min(r.object.requestCount, 2)
--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -39,3 +39,93 @@
 		}
 	}
 }
+
+// keyedClass returns a class whose requests are deduplicated by an idempotency key.
+func keyedClass(name string, scope DedupScope, write bool) Class {
+	return Class{Name: name, LatencyObjective: 600 * ms, Deadline: 3 * sec, Idempotency: IdempotentByKey, DedupScope: scope,
+		DedupWindow: 2 * sec, Write: write}
+}
+
+// keyedSettings returns the settings of the tests with keyed classes of each scope, for reads and for writes. One attempt
+// of a request may be in flight at a time.
+func keyedSettings() Settings {
+	settings := testSettings()
+	settings.Capabilities.Hedging = false
+	settings.Classes = append(settings.Classes,
+		keyedClass("read in cell", DedupInCell, false), keyedClass("write in cell", DedupInCell, true),
+		keyedClass("read in zone", DedupInZone, false), keyedClass("write in zone", DedupInZone, true),
+		keyedClass("read anywhere", DedupEverywhere, false))
+	return settings
+}
+
+// inCell returns the list entry of an endpoint of a cell.
+func inCell(cell int, e Endpoint) Endpoint {
+	e.Cell = cell
+	return e
+}
+
+// drain lists an endpoint as draining.
+func (r *rig) drain(e Endpoint) []Action {
+	e.State = Draining
+	return r.handle(EndpointUpdate{Endpoints: []Endpoint{e}})
+}
+
+// finalAnswers returns the final answers among actions.
+func finalAnswers(actions []Action) (answers []Action) {
+	for _, a := range actions {
+		switch a.(type) {
+		case Reject, Fail:
+			answers = append(answers, a)
+		}
+	}
+	return answers
+}
+
+// A keyed request that an edge cache may have run is not sent to a parent or the origin outside the cache's scope when no
+// edge cache is left (review, case 2). It fails before its deadline, and only once.
+func TestBypassOfCachesStaysInDedupScope(t *testing.T) {
+	for _, class := range []string{"read in cell", "read in zone"} {
+		for _, status := range []Status{Error, TimedOut, Reset, Cancelled} {
+			cache := inCell(1, listedEndpoint(1, "box", "edge"))
+			r := newRig(t, keyedSettings(), []Endpoint{cache, listedEndpoint(11, "mid", "hub"), listedEndpoint(20, "store", "hub")})
+			first := r.request(class, 5)
+			r.drain(cache)
+			actions := append(r.finish(first, 0, status, NoDetail), r.advance(3*sec)...)
+			if sent := sentAttempts(actions); len(sent) > 0 {
+				t.Errorf("%s, status %d: repeated outside the scope: %+v", class, status, sent)
+			}
+			answers := finalAnswers(actions)
+			if len(answers) != 1 || answers[0] != (Fail{ID: first.ID}) {
+				t.Errorf("%s, status %d: answers %+v, want one Fail", class, status, answers)
+			}
+		}
+	}
+}
+
+// Where no edge cache is left, a request goes on to a parent if nothing may have run, if its class is idempotent, or if the
+// parent drops the repeat.
+func TestBypassOfCachesMakesAllowedRepeats(t *testing.T) {
+	for _, test := range []struct {
+		class, parentZone string
+		status            Status
+		want              RepeatVerdict
+	}{
+		{"page", "hub", Reset, RepeatHarmless},
+		{"read in cell", "hub", ConnectFailed, NothingRan},
+		{"read in cell", "hub", Miss, NothingRan},
+		{"read anywhere", "hub", Reset, RepeatDeduplicated},
+		{"read in zone", "edge", Reset, RepeatDeduplicated},
+		{"read in cell", "edge", Reset, RepeatDeduplicated},
+	} {
+		cache := inCell(1, listedEndpoint(1, "box", "edge"))
+		parent := inCell(1, listedEndpoint(11, "mid", test.parentZone))
+		r := newRig(t, keyedSettings(), []Endpoint{cache, parent, listedEndpoint(20, "store", "hub")})
+		first := r.request(test.class, 5)
+		r.drain(cache)
+		sent := sentAttempts(r.finish(first, 0, test.status, NoDetail))
+		if len(sent) != 1 || sent[0].Endpoint != 11 || sent[0].Repeat != test.want {
+			t.Errorf("%s, parent in %s, status %d: %+v, want an attempt at the parent: %s", test.class, test.parentZone,
+				test.status, sent, test.want)
+		}
+	}
+}
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -60,12 +60,7 @@
 		b.rejectOrFail(r)
 		return
 	}
-	var a attempt
-	if b.isWrite(r) {
-		a = b.routeWrite(r)
-	} else {
-		a = b.routeRead(r)
-	}
+	a := b.chooseAttempt(r)
 	switch {
 	case a.endpoint != nil:
 		r.phase = requestActive
--- a/balancer/routing.go
+++ b/balancer/routing.go
@@ -5,6 +5,24 @@
 // This file chooses the endpoint of an attempt and the source that a miss is filled from. An attempt without an
 // endpoint means that there is no capacity now.
 
+// chooseAttempt chooses the next attempt of a request. It is the only way to an endpoint, and the idempotency rule has the
+// last word here: each way below also asks it, to find an endpoint that is allowed.
+func (b *Balancer) chooseAttempt(r *request) attempt {
+	choose := b.routeRead
+	if b.isWrite(r) {
+		choose = b.routeWrite
+	}
+	a := choose(r)
+	if a.endpoint == nil {
+		return attempt{}
+	}
+	a.repeat = b.checkRepeat(r, a.endpoint)
+	if !a.repeat.Allowed() {
+		return attempt{}
+	}
+	return a
+}
+
 // routeWrite routes a write. Where direct attempts are allowed, it goes straight to the origin or the home parent, else
 // through an edge cache with a parent or the origin as its source. A retry takes another path.
 func (b *Balancer) routeWrite(r *request) attempt {
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -15,7 +15,7 @@
 // chance for the values of one deployment.
 func TestRulesUnderRandomEvents(t *testing.T) {
 	testSite := deployment{testSettings(), testEndpoints(), []string{"page", "page", "page", "news", "pay", "once"}}
-	for _, d := range []deployment{testSite, scoresDeployment(), episodesDeployment()} {
+	for _, d := range []deployment{testSite, scoresDeployment(), episodesDeployment(), keyedDeployment()} {
 		for seed := range uint64(30) {
 			newRulesRun(t, seed, d).execute()
 		}
@@ -68,6 +68,19 @@
 	return deployment{s, list, []string{"part", "part", "part", "part", "asset", "asset", "asset", "listen"}}
 }
 
+// keyedDeployment has keyed classes of each deduplication scope, for reads and for writes. Its parents and the origin accept
+// attempts, and share the zone or the cell of edge caches in some cases.
+func keyedDeployment() deployment {
+	list := []Endpoint{
+		inCell(1, listedEndpoint(1, "box", "edge")), inCell(1, listedEndpoint(2, "box", "edge")),
+		inCell(2, listedEndpoint(3, "box", "edge")), inCell(1, listedEndpoint(11, "mid", "edge")),
+		inCell(3, listedEndpoint(12, "mid", "hub")), inCell(3, listedEndpoint(20, "store", "hub")),
+		inCell(4, listedEndpoint(21, "store", "hub")),
+	}
+	return deployment{keyedSettings(), list, []string{"read in cell", "write in cell", "read in zone", "write in zone",
+		"read anywhere", "pay", "page"}}
+}
+
 // rulesRun passes random valid events to one balancer, and checks each of its actions against the rules.
 type rulesRun struct {
 	*rig
@@ -90,12 +103,19 @@
 	class      *Class
 	object     uint64
 	deadline   time.Duration
-	inFlight   map[int]SendAttempt
+	inFlight   map[int]trackedAttempt
 	sent       int
-	mayHaveRun []time.Duration // end times of the attempts that may have run
+	mayHaveRun []trackedAttempt // those that have ended
 	answers    int
 }
 
+// trackedAttempt is an attempt with what it was sent with.
+type trackedAttempt struct {
+	SendAttempt
+	at     time.Duration
+	target Endpoint // the entry of the list that the balancer had then
+}
+
 func newRulesRun(t *testing.T, seed uint64, d deployment) *rulesRun {
 	t.Helper()
 	s := d.settings
@@ -143,7 +163,7 @@
 	remaining := time.Duration(20+run.rnd.IntN(int(run.classes[class].Deadline/ms))) * ms
 	object := uint64(run.rnd.IntN(60))
 	run.requests[id] = &trackedRequest{class: run.classes[class], object: object, deadline: run.now + remaining,
-		inFlight: map[int]SendAttempt{}}
+		inFlight: map[int]trackedAttempt{}}
 	run.inOrder = append(run.inOrder, id)
 	run.apply(run.handle(Request{ID: id, Class: class, Object: object, Group: object % 8, Remaining: remaining,
 		SizeKB: float64(run.rnd.IntN(400))}))
@@ -165,7 +185,7 @@
 	sent := q.inFlight[n]
 	delete(q.inFlight, n)
 	if !status.NeverRan() {
-		q.mayHaveRun = append(q.mayHaveRun, run.now)
+		q.mayHaveRun = append(q.mayHaveRun, sent)
 	}
 	answered := status == OK || q.answers > 0
 	if status == OK && q.answers == 0 {
@@ -240,7 +260,7 @@
 	run.checkIdempotency(q, a)
 	run.checkDrained(a)
 	run.checkPurged(q, a)
-	q.inFlight[q.sent] = a
+	q.inFlight[q.sent] = trackedAttempt{SendAttempt: a, at: run.now, target: run.listed(a.Endpoint)}
 	q.sent++
 	if q.sent > run.settings.MaxAttempts {
 		run.t.Fatalf("seed %d: %d attempts are over the maximum", run.seed, q.sent)
@@ -256,14 +276,41 @@
 
 // checkIdempotency checks that no request can take effect twice.
 func (run *rulesRun) checkIdempotency(q *trackedRequest, a SendAttempt) {
-	for _, at := range q.mayHaveRun {
-		outOfWindow := q.class.Idempotency == IdempotentByKey && run.now-at > q.class.DedupWindow
-		if q.class.Idempotency == NotIdempotent || outOfWindow {
-			run.t.Fatalf("seed %d: the request may take effect twice: %+v", run.seed, a)
+	for _, earlier := range q.mayHaveRun {
+		if !mayRepeat(q.class, earlier, run.listed(a.Endpoint), run.now) {
+			run.t.Fatalf("seed %d: the request may take effect twice: %s: %+v after %+v", run.seed, q.class.Name, a, earlier)
 		}
 	}
 }
 
+// mayRepeat states the rule on duplicate effects, in the words of the operators' page.
+func mayRepeat(class *Class, earlier trackedAttempt, target Endpoint, now time.Duration) bool {
+	switch class.Idempotency {
+	case Idempotent:
+		return true
+	case NotIdempotent:
+		return false
+	}
+	sameZone := target.Zone == earlier.target.Zone
+	inScope := map[DedupScope]bool{
+		DedupEverywhere: true,
+		DedupInZone:     sameZone,
+		DedupInCell:     sameZone && target.Cell == earlier.target.Cell,
+	}
+	return inScope[class.DedupScope] && now-earlier.at < class.DedupWindow
+}
+
+// listed returns the entry of an endpoint in the list.
+func (run *rulesRun) listed(id EndpointID) Endpoint {
+	for _, e := range run.list {
+		if e.ID == id {
+			return e
+		}
+	}
+	run.t.Fatalf("seed %d: endpoint %d is not listed", run.seed, id)
+	return Endpoint{}
+}
+
 // checkDrained checks that nothing is sent to an endpoint that is draining or removed for longer than drainGrace.
 func (run *rulesRun) checkDrained(a SendAttempt) {
 	for _, id := range []EndpointID{a.Endpoint, a.Source} {
@@ -293,11 +340,16 @@
 	q.answers++
 }
 
-// checkRejection checks that a request that is not idempotent and may have run is not rejected, as a rejection invites a
-// retry.
+// checkRejection checks that a request that may have run is not rejected unless a repeat does no harm at any endpoint, as a
+// rejection invites a retry.
 func (run *rulesRun) checkRejection(id RequestID) {
-	if q := run.requests[id]; q != nil && len(q.mayHaveRun) > 0 && q.class.Idempotency == NotIdempotent {
-		run.t.Fatalf("seed %d: rejected a request that may have run", run.seed)
+	q := run.requests[id]
+	if q == nil || len(q.mayHaveRun) == 0 {
+		return
+	}
+	keyedAnywhere := q.class.Idempotency == IdempotentByKey && q.class.DedupScope == DedupEverywhere
+	if q.class.Idempotency != Idempotent && !keyedAnywhere {
+		run.t.Fatalf("seed %d: rejected a request of class %s that may have run", run.seed, q.class.Name)
 	}
 }
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -168,6 +168,7 @@
 	avoidOnRetry *endpoint // endpoint that caused the attempt's failure; nil: none
 	sentAt       time.Duration
 	state        attemptState
+	repeat       RepeatVerdict // of the idempotency rule, when the attempt was decided
 
 	cachedOnly      bool    // the source answers from its cache only
 	toSecondHome    bool    // the fill goes to the second home, to keep that one warm
--- /dev/null
+++ b/cmd/hillknot/repeats_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"net"
+	"testing"
+)
+
+// keyedRouter is a router whose clients send keyed requests, and whose parent and origin accept attempts of its own.
+type keyedRouter struct {
+	*testRouter
+	cache, parent *fakeEndpoint
+}
+
+// entryIn returns the list entry of an endpoint of a machine type in a zone and a cell.
+func (e *fakeEndpoint) entryIn(machineType, zone string, cell int, lifecycle string) jsonMap {
+	entry := e.listEntry(lifecycle)
+	entry["machineType"], entry["zone"], entry["cell"] = machineType, zone, cell
+	return entry
+}
+
+// newKeyedRouter returns a router with a page cache in zone e, cell 1, a parent with the given place, and an origin elsewhere.
+// The requests of its class "part" are keyed; page caches of one group drop repeats. The router is not started yet.
+func newKeyedRouter(t *testing.T, group, parentZone string, parentCell int) *keyedRouter {
+	t.Helper()
+	r := &keyedRouter{testRouter: newTestRouter(t, 1)}
+	origin := r.newEndpoint("o-0")
+	r.cache, r.parent = r.endpoints[0], r.newEndpoint("p-0")
+	r.endpoints = append(r.endpoints, r.parent, origin)
+	hosts := []jsonMap{
+		r.cache.entryIn("box", "e", 1, "ready"),
+		r.parent.entryIn("mid", parentZone, parentCell, "ready"),
+		origin.entryIn("store", "hub", 9, "ready"),
+	}
+	r.configure(jsonMap{"pos": 1, "entries": []jsonMap{{"pos": 1, "hosts": jsonMap{"reset": true, "instances": hosts}}}}, "known")
+	r.configure([]string{"box", "store", "mid"}, "settings", "hostTypes")
+	settings := r.config["settings"].(jsonMap)
+	settings["hostTypes"] = []string{"box", "store", "mid"}
+	settings["profiles"] = append(settings["profiles"].([]jsonMap), jsonMap{
+		"name":       "part",
+		"repeat":     "keyed",
+		"group":      group,
+		"windowUs":   2000 * millisecond,
+		"promiseUs":  500 * millisecond,
+		"deadlineUs": 3000 * millisecond,
+		"worth":      1,
+	})
+	settings["specifics"] = jsonMap{
+		"instancesByZone": []int{0, 1},
+		"midKind":         2,
+		"storeKind":       1,
+		"classWrite":      []bool{false, true, true, false},
+		"passThroughOk":   true,
+	}
+	return r
+}
+
+// drainCache lists the page cache as draining, and waits until requests go to the parent.
+func (r *keyedRouter) drainCache() {
+	r.t.Helper()
+	r.acceptWatch("1").sendEndpoints(2, false, r.cache.entryIn("box", "e", 1, "draining"))
+	r.waitForEndpoint(r.dial(), 100, r.parent)
+}
+
+// resetConnection resets the connection on which an endpoint got an attempt.
+func resetConnection(a endpointMessage) {
+	_ = a.conn.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed
+	a.conn.Close()
+}
+
+// A keyed request that a page cache has begun must not run again at a parent or the origin outside the cache's group when no
+// page cache is left (review, case 2). The client is told once, and in time, that it may have run. Where the request surely
+// never ran, or the parent drops repeats too, the router still sends it on.
+func TestKeyedRequestIsRepeatedOnlyInItsGroup(t *testing.T) {
+	for _, test := range []struct {
+		name, group string
+		parentZone  string
+		parentCell  int
+		end         func(endpointMessage) // how the attempt at the page cache ends
+		repeated    bool
+	}{
+		{"cell, reset", "cell", "hub", 9, resetConnection, false},
+		{"cell, failed", "cell", "hub", 9, endpointMessage.fail, false},
+		{"cell, parent in another cell of the zone", "cell", "e", 2, resetConnection, false},
+		{"zone, reset", "zone", "hub", 1, resetConnection, false},
+		{"cell, never ran", "cell", "hub", 9, func(a endpointMessage) { a.reply("LACK - 0\r\n\r\n") }, true},
+		{"cell, parent in the cell", "cell", "e", 1, resetConnection, true},
+		{"zone, parent in the zone", "zone", "e", 2, resetConnection, true},
+		{"all", "all", "hub", 9, resetConnection, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newKeyedRouter(t, test.group, test.parentZone, test.parentCell)
+			r.start()
+			client := r.dial()
+			client.request(1, "part", map[string]string{"unique": "7a"})
+			first := r.nextAttempt()
+			if first.endpoint != r.cache {
+				t.Fatalf("the first attempt went to %s, want the page cache", first.endpoint.id)
+			}
+			r.drainCache()
+			test.end(first)
+			if !test.repeated {
+				client.expect(1, "Failed")
+				r.expectNoAttempt("after the request may have run")
+				return
+			}
+			repeat := r.nextAttempt()
+			if repeat.endpoint != r.parent || repeat.requestID != first.requestID || repeat.fields["token"] != "7a" {
+				t.Errorf("the repeat is %+v, want the same request at the parent", repeat)
+			}
+			repeat.serve("x")
+			client.expect(1, "x")
+		})
+	}
+}
--- a/cmd/hillknot/retry_test.go
+++ b/cmd/hillknot/retry_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -69,10 +68,7 @@
 // idempotency key if it has one.
 func TestDamagedAnswerEndsTheAttempt(t *testing.T) {
 	for name, damage := range map[string]func(endpointMessage){
-		"reset": func(a endpointMessage) {
-			_ = a.conn.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed
-			a.conn.Close()
-		},
+		"reset":         resetConnection,
 		"closed":        func(a endpointMessage) { a.conn.Close() },
 		"garbled":       func(a endpointMessage) { a.reply("\x00\xff\r\n") },
 		"cut":           func(a endpointMessage) { a.reply("DONE res=cached 100\r\nhalf"); a.conn.Close() },
