balancer: find the endpoint that a keyed repeat may go to, instead of giving up at the first

A write with group cell that went to the origin was repeated by nobody, as the second attempt is the home parent's turn; a read that had gone straight to its home parent was offered the second home alone; a write that an edge cache may have run was never offered that cell's caches once the origin was back.

Cause: each way proposed one endpoint and took the rule's no for the end.

Change: directTarget asks the rule for the preferred endpoints in their order and then looks for an allowed parent by the hash; a write that may not go straight goes through an edge cache. pick leaves out what the rule forbids for every role, and pickSource, which chooses the parent of a fill, does not ask it, as a source is not sent the request. For requests whose repeats are free, and for first attempts, the choices are the same.

--- a/balancer/hashing.go
+++ b/balancer/hashing.go
@@ -30,6 +30,18 @@
 // which may be nil, is left out. The result is nil if no endpoint is eligible.
 func (b *Balancer) pick(r *request, key uint64, candidates []*endpoint, salt uint64, excluded *endpoint) *endpoint {
 	c := choice{balancer: b, request: r, key: key, salt: salt, candidates: candidates, excluded: excluded}
+	return c.best()
+}
+
+// pickSource is pick for the parent that fills a miss. It is not sent the request, so the idempotency rule does not apply.
+func (b *Balancer) pickSource(r *request, salt uint64, excluded *endpoint) *endpoint {
+	c := choice{balancer: b, request: r, key: r.Object, salt: salt, candidates: b.endpoints.parents, excluded: excluded,
+		asSource: true}
+	return c.best()
+}
+
+// best returns the endpoint that pick describes, or nil.
+func (c *choice) best() *endpoint {
 	bound := math.Inf(1)
 	for range topCandidates {
 		e, score := c.highestBelow(bound)
@@ -51,6 +63,7 @@
 	key, salt  uint64
 	candidates []*endpoint
 	excluded   *endpoint
+	asSource   bool // the endpoint is to fill a miss, and is not sent the request
 
 	overloadedFrom float64 // result of overloadThreshold for the candidates; 0: not computed yet
 }
@@ -75,10 +88,9 @@
 // endpoint that is warming up.
 func (c *choice) preference(e *endpoint) preference {
 	b, r := c.balancer, c.request
-	full := e.role == roleCache &&
-		(float64(e.inFlight) >= e.concurrencyLimit*b.costAllowance(r) || !b.checkRepeat(r, e).Allowed())
+	full := e.role == roleCache && float64(e.inFlight) >= e.concurrencyLimit*b.costAllowance(r)
 	switch {
-	case e == c.excluded || full || !e.inService() || !b.withinWarmUpBudget(e, r):
+	case e == c.excluded || full || !c.repeatAllowed(e) || !e.inService() || !b.withinWarmUpBudget(e, r):
 		return ineligible
 	case !b.usable(e):
 		return ejected
@@ -90,6 +102,11 @@
 	return spillOver
 }
 
+// repeatAllowed reports whether the idempotency rule allows the choice of an endpoint.
+func (c *choice) repeatAllowed(e *endpoint) bool {
+	return c.asSource || c.balancer.checkRepeat(c.request, e).Allowed()
+}
+
 // bestOfAll returns the best of all candidates, in the order that pick describes, or nil.
 func (c *choice) bestOfAll() *endpoint {
 	var best [preferenceCount]*endpoint
--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -129,3 +130,56 @@
 		}
 	}
 }
+
+// repeatCase is a keyed request whose first attempt may have run, with the endpoints that may get the next attempt.
+type repeatCase struct {
+	name, class string
+	list        []Endpoint
+	first       []EndpointID // one of these gets the first attempt
+	change      []Endpoint   // list entries that change while the first attempt is in flight
+	again       []EndpointID // one of these gets the next attempt
+}
+
+// A keyed request that may have run is repeated wherever its scope has an endpoint that takes it, also where the endpoint
+// that would come first for another request lies outside.
+func TestAllowedRepeatIsFound(t *testing.T) {
+	origin, originDraining := inCell(3, listedEndpoint(20, "store", "hub")), inCell(3, listedEndpoint(20, "store", "hub"))
+	originDraining.State = Draining
+	cache1, cache2, cacheOther := inCell(1, listedEndpoint(1, "box", "edge")), inCell(1, listedEndpoint(2, "box", "edge")),
+		inCell(2, listedEndpoint(3, "box", "edge"))
+	parent1, parent2 := inCell(4, listedEndpoint(11, "mid", "hub")), inCell(5, listedEndpoint(12, "mid", "hub"))
+	for _, test := range []repeatCase{
+		{name: "write at the origin", class: "write in cell", list: []Endpoint{cache1, parent1, parent2, origin},
+			first: []EndpointID{20}, again: []EndpointID{20}},
+		{name: "write at a parent in the origin's zone", class: "write in zone", list: []Endpoint{cache1, parent1, origin},
+			first: []EndpointID{20}, again: []EndpointID{11}},
+		{name: "write at a cache, then the origin returns", class: "write in cell",
+			list:  []Endpoint{cache1, cache2, cacheOther, parent1, originDraining},
+			first: []EndpointID{1, 2, 3}, change: []Endpoint{origin}, again: []EndpointID{1, 2, 3}},
+		{name: "read at a parent, no cache", class: "read in cell", list: []Endpoint{parent1, parent2, origin},
+			first: []EndpointID{11, 12}, again: []EndpointID{11, 12}},
+		{name: "read at a parent, then a cache comes", class: "read in zone", list: []Endpoint{parent1, parent2, origin},
+			first: []EndpointID{11, 12}, change: []Endpoint{cache1}, again: []EndpointID{11, 12}},
+		{name: "read at a cache, one other in its cell", class: "read in cell", list: []Endpoint{cache1, cache2, parent1, origin},
+			first: []EndpointID{1, 2}, again: []EndpointID{1, 2}},
+	} {
+		for object := range uint64(20) {
+			test.play(t, object)
+		}
+	}
+}
+
+// play sends a request for an object, resets its first attempt and checks where the next one goes.
+func (c *repeatCase) play(t *testing.T, object uint64) {
+	t.Helper()
+	r := newRig(t, keyedSettings(), c.list)
+	first := r.request(c.class, object)
+	if !slices.Contains(c.first, first.Endpoint) {
+		t.Fatalf("%s, object %d: first attempt %+v, want one at %v", c.name, object, first, c.first)
+	}
+	r.handle(EndpointUpdate{Endpoints: c.change})
+	sent := sentAttempts(r.finish(first, 0, Reset, NoDetail))
+	if len(sent) != 1 || !slices.Contains(c.again, sent[0].Endpoint) || sent[0].Repeat != RepeatDeduplicated {
+		t.Errorf("%s, object %d: after an attempt at %d: %+v, want one at %v", c.name, object, first.Endpoint, sent, c.again)
+	}
+}
--- a/balancer/routing.go
+++ b/balancer/routing.go
@@ -28,8 +28,8 @@
 func (b *Balancer) routeWrite(r *request) attempt {
 	home, secondHome := b.homeParents(r)
 	origin := b.originInService()
-	if b.settings.Capabilities.DirectAttempts && origin != nil {
-		return b.routeDirectWrite(r, home, origin)
+	if target := b.directWriteTarget(r, home, origin); target != nil {
+		return attempt{endpoint: target, source: target}
 	}
 	for _, source := range [...]*endpoint{home, secondHome, origin} {
 		if source != nil && source.inService() && !r.failedAt(source) {
@@ -41,16 +41,27 @@
 	return attempt{}
 }
 
-// routeDirectWrite alternates between the origin and the home parent, starting with the origin.
-func (b *Balancer) routeDirectWrite(r *request, home, origin *endpoint) attempt {
-	target := origin
-	if home != nil && (!b.checkRepeat(r, target).Allowed() || len(r.attempts)%2 == 1 && b.usable(home)) {
-		target = home
+// directWriteTarget alternates between the origin and the home parent, starting with the origin. It returns nil where direct
+// attempts are not allowed or the origin is not in service.
+func (b *Balancer) directWriteTarget(r *request, home, origin *endpoint) *endpoint {
+	if !b.settings.Capabilities.DirectAttempts || origin == nil {
+		return nil
 	}
-	if !b.checkRepeat(r, target).Allowed() {
-		return attempt{}
+	if home != nil && len(r.attempts)%2 == 1 && b.usable(home) {
+		return b.directTarget(r, home, origin)
+	}
+	return b.directTarget(r, origin, home)
+}
+
+// directTarget returns the first of the preferred endpoints, which may be nil, that the idempotency rule allows, else a
+// parent that it allows, or nil.
+func (b *Balancer) directTarget(r *request, preferred ...*endpoint) *endpoint {
+	for _, e := range preferred {
+		if e != nil && b.checkRepeat(r, e).Allowed() {
+			return e
+		}
 	}
-	return attempt{endpoint: target, source: target}
+	return b.pick(r, r.Object, b.endpoints.parents, saltHome, nil)
 }
 
 // routeRead routes a read to the edge cache that the hash names, and limits the fills on the zone's link. Over the
@@ -60,12 +71,11 @@
 	home, secondHome := b.homeParents(r)
 	origin := b.originInService()
 	originHealthy := origin != nil && b.inRange(r.Object, origin, b.healthScore(origin)/originScoreRatio)
-	a.source, a.toSecondHome = b.sourceOf(r, sourceCandidates{home, secondHome, origin, originHealthy})
-	// While the origin is slow, parents serve most objects from their caches only: a fill that waits for the origin
-	// would keep quick fills off the link, and its load would keep the origin slow.
-	a.cachedOnly = origin != nil && !originHealthy && a.source != nil && a.source.role == roleParent
+	candidates := sourceCandidates{home, secondHome, origin, originHealthy}
+	a.source, a.toSecondHome = b.sourceOf(r, candidates)
+	a.cachedOnly = candidates.servesCachedOnly(a.source)
 	if a.endpoint == nil {
-		b.bypassCaches(&a, origin)
+		b.bypassCaches(r, &a, candidates)
 	}
 	if a.endpoint == nil {
 		return attempt{}
@@ -96,6 +106,13 @@
 	originHealthy    bool // the origin's health score allows fills of this object
 }
 
+// servesCachedOnly reports whether a source, which may be nil, may serve an object from its cache only. While the origin is
+// slow, that is so for most objects: a fill that waits for the origin would keep quick fills off the link, and its load
+// would keep the origin slow.
+func (c *sourceCandidates) servesCachedOnly(source *endpoint) bool {
+	return c.origin != nil && !c.originHealthy && source != nil && source.role == roleParent
+}
+
 // sourceOf chooses the source of a fill. That is normally the home parent. It is the second home once per
 // replicationInterval, which toSecondHome reports, or where the home fails. It is the origin where no parent can fill,
 // or where the origin's health score is good and the home's is not. A nil source means that there is none.
@@ -140,16 +157,23 @@
 	return o.cachedAtHome && b.now-o.replicatedAt > replicationInterval
 }
 
-// bypassCaches sends an attempt straight to its source, where no edge cache has capacity. It has no effect unless direct
-// attempts are allowed, the origin is in service and the zone's link has capacity.
-func (b *Balancer) bypassCaches(a *attempt, origin *endpoint) {
-	allowed := b.settings.Capabilities.DirectAttempts && origin != nil && b.link.inFlight < b.link.limit
+// bypassCaches sends an attempt straight to its source, where no edge cache has capacity, or to another parent or the origin
+// where the idempotency rule forbids that one. It has no effect unless direct attempts are allowed, the origin is in
+// service and the zone's link has capacity.
+func (b *Balancer) bypassCaches(r *request, a *attempt, c sourceCandidates) {
+	allowed := b.settings.Capabilities.DirectAttempts && c.origin != nil && b.link.inFlight < b.link.limit
 	if !allowed || a.source == nil {
 		return
 	}
-	a.endpoint = a.source
-	if !a.cachedOnly {
-		a.source = origin
+	a.endpoint = b.directTarget(r, a.source, c.origin)
+	if a.endpoint == nil {
+		return
+	}
+	a.toSecondHome = a.toSecondHome && a.endpoint == a.source
+	a.cachedOnly = c.servesCachedOnly(a.endpoint)
+	a.source = c.origin
+	if a.cachedOnly {
+		a.source = a.endpoint
 	}
 }
 
@@ -169,8 +193,8 @@
 
 // homeParents returns the home and the second home of a request's object; each may be nil.
 func (b *Balancer) homeParents(r *request) (home, secondHome *endpoint) {
-	home = b.pick(r, r.Object, b.endpoints.parents, saltHome, nil)
-	secondHome = b.pick(r, r.Object, b.endpoints.parents, saltSecondHome, home)
+	home = b.pickSource(r, saltHome, nil)
+	secondHome = b.pickSource(r, saltSecondHome, home)
 	return home, secondHome
 }
 
