balancer: compare a repeat with where its request was sent, not with where that endpoint is now

Callers saw: a page cache is listed in another cell while it works on a keyed request, and its connection breaks. The request ran again at a page cache of the new cell, which knows nothing of the key; a page cache of the old cell, which drops the repeat, was passed by. The same for a zone, and for an endpoint that becomes a parent.

Cause: applyEndpoint overwrites the endpoint that earlier attempts point to, and the rule read the cell and the zone from there.

Change: each attempt keeps the placement that its endpoint had when it was decided. The random plays move endpoints between cells.

--- a/balancer/repeats.go
+++ b/balancer/repeats.go
@@ -25,8 +25,8 @@
 
 // Execution is an attempt that may have run, or that may still run.
 type Execution struct {
-	Placement Placement     // of its endpoint
 	SentAt    time.Duration // when it was sent
+	Placement Placement     // of its endpoint at that time
 }
 
 // RepeatVerdict says why an attempt is allowed or forbidden, given the earlier attempts of its request.
@@ -104,7 +104,7 @@
 		if a.open() && !b.mayHedge(r) {
 			return AttemptOpen
 		}
-		verdict = check(Execution{Placement: a.endpoint.placement, SentAt: a.sentAt})
+		verdict = check(Execution{Placement: a.placement, SentAt: a.sentAt})
 		if !verdict.Allowed() {
 			return verdict
 		}
--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -183,3 +183,33 @@
 		t.Errorf("%s, object %d: after an attempt at %d: %+v, want one at %v", c.name, object, first.Endpoint, sent, c.again)
 	}
 }
+
+// An endpoint is listed in another cell, zone or role while it works on a keyed request. What counts is where it was when the
+// request was sent: the endpoints that it has joined since don't know the idempotency key, and those that it has left do.
+func TestRepeatStaysInScopeOfTheSend(t *testing.T) {
+	moved := inCell(1, listedEndpoint(1, "box", "edge"))
+	for name, test := range map[string]struct {
+		class     string
+		listedNow Endpoint
+		others    []Endpoint
+		again     EndpointID // 0: no repeat
+	}{
+		"other cell, a cache in the new one":  {"read in cell", inCell(2, moved), []Endpoint{inCell(2, listedEndpoint(2, "box", "edge"))}, 0},
+		"other cell, a cache in the old one":  {"read in cell", inCell(2, moved), []Endpoint{inCell(1, listedEndpoint(2, "box", "edge"))}, 2},
+		"other zone, a parent in the new one": {"read in zone", listedEndpoint(1, "box", "hub"), nil, 0},
+		"other role":                          {"read in cell", inCell(4, listedEndpoint(1, "mid", "hub")), []Endpoint{inCell(2, listedEndpoint(2, "box", "edge"))}, 0},
+		"stays":                               {"read in cell", moved, []Endpoint{inCell(2, listedEndpoint(2, "box", "edge"))}, 1},
+	} {
+		parent, origin := inCell(4, listedEndpoint(11, "mid", "hub")), inCell(4, listedEndpoint(20, "store", "hub"))
+		r := newRig(t, keyedSettings(), []Endpoint{moved, parent, origin})
+		first := r.request(test.class, 5)
+		r.handle(EndpointUpdate{Endpoints: append(test.others, test.listedNow)})
+		var again EndpointID
+		if sent := sentAttempts(r.finish(first, 0, Reset, NoDetail)); len(sent) > 0 {
+			again = sent[0].Endpoint
+		}
+		if first.Endpoint != 1 || again != test.again {
+			t.Errorf("%s: sent to %d, then to %d, want %d", name, first.Endpoint, again, test.again)
+		}
+	}
+}
--- a/balancer/routing.go
+++ b/balancer/routing.go
@@ -16,6 +16,7 @@
 	if a.endpoint == nil {
 		return attempt{}
 	}
+	a.placement = a.endpoint.placement
 	a.repeat = b.checkRepeat(r, a.endpoint)
 	if !a.repeat.Allowed() {
 		return attempt{}
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,7 +15,7 @@
 // for the settings of the tests and for two that resemble the real deployments, because the rules must not hold only by
 // chance for the values of one deployment.
 func TestRulesUnderRandomEvents(t *testing.T) {
-	testSite := deployment{testSettings(), testEndpoints(), []string{"page", "page", "page", "news", "pay", "once"}}
+	testSite := deployment{testSettings(), testEndpoints(), []string{"page", "page", "page", "news", "pay", "once"}, 0}
 	for _, d := range []deployment{testSite, scoresDeployment(), episodesDeployment(), keyedDeployment()} {
 		for seed := range uint64(30) {
 			newRulesRun(t, seed, d).execute()
@@ -27,6 +28,7 @@
 	settings Settings
 	list     []Endpoint
 	mix      []string // classes, repeated by their relative frequency
+	cells    int      // endpoints move between so many cells; 0: they stay where they are
 }
 
 // scoresDeployment resembles the first deployment: one class that is not idempotent and two that are, three zones, and up
@@ -45,7 +47,7 @@
 		listedEndpoint(1, "box", "coastal"), listedEndpoint(2, "box", "coastal"), listedEndpoint(3, "box", "coastal"),
 		listedEndpoint(4, "box", "coastal"), listedEndpoint(5, "box", "coastal"),
 	}
-	return deployment{s, list, []string{"score", "score", "page", "page", "arrange"}}
+	return deployment{s, list, []string{"score", "score", "page", "page", "arrange"}, 0}
 }
 
 // episodesDeployment resembles the second deployment: parts with a deadline of 6 s, assets that are fresh for 8 s, and a
@@ -65,7 +67,7 @@
 		listedEndpoint(20, "store", "west"), listedEndpoint(1, "box", "west"), listedEndpoint(2, "box", "west"),
 		listedEndpoint(9, "box", "north"),
 	}
-	return deployment{s, list, []string{"part", "part", "part", "part", "asset", "asset", "asset", "listen"}}
+	return deployment{s, list, []string{"part", "part", "part", "part", "asset", "asset", "asset", "listen"}, 0}
 }
 
 // keyedDeployment has keyed classes of each deduplication scope, for reads and for writes. Its parents and the origin accept
@@ -78,7 +80,7 @@
 		inCell(4, listedEndpoint(21, "store", "hub")),
 	}
 	return deployment{keyedSettings(), list, []string{"read in cell", "write in cell", "read in zone", "write in zone",
-		"read anywhere", "pay", "page"}}
+		"read anywhere", "pay", "page"}, 4}
 }
 
 // rulesRun passes random valid events to one balancer, and checks each of its actions against the rules.
@@ -89,6 +91,7 @@
 	settings Settings
 	list     []Endpoint
 	mix      []string // classes, repeated by their relative frequency
+	cells    int      // as in deployment
 	classes  map[string]*Class
 
 	requests  map[RequestID]*trackedRequest
@@ -121,7 +124,8 @@
 	s := d.settings
 	s.Capabilities.Hedging, s.Capabilities.CoalesceFills = seed%2 == 0, seed%3 != 0
 	run := &rulesRun{
-		rig: newRig(t, s, d.list), seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), settings: s, list: d.list, mix: d.mix,
+		rig: newRig(t, s, d.list), seed: seed, rnd: rand.New(rand.NewPCG(seed, 7)), settings: s, list: slices.Clone(d.list), mix: d.mix,
+		cells:   d.cells,
 		classes: map[string]*Class{}, requests: map[RequestID]*trackedRequest{},
 		drainedAt: map[EndpointID]time.Duration{}, purgedAt: map[uint64]time.Duration{}, timerAt: -1,
 	}
@@ -210,9 +214,13 @@
 	run.apply(run.handle(Purge{ByGroup: true, Group: object % 8, Age: age}))
 }
 
-// changeList drains, removes or restarts a random endpoint.
+// changeList drains, removes or restarts a random endpoint, which moves to a random cell if endpoints move.
 func (run *rulesRun) changeList() {
-	e := run.list[run.rnd.IntN(len(run.list))]
+	entry := &run.list[run.rnd.IntN(len(run.list))]
+	if run.cells > 0 {
+		entry.Cell = 1 + run.rnd.IntN(run.cells)
+	}
+	e := *entry
 	e.State = EndpointState(run.rnd.IntN(3))
 	if e.State == InService {
 		e.StartedAt = run.now - time.Duration(run.rnd.IntN(20000))*ms
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -168,6 +168,7 @@
 	avoidOnRetry *endpoint // endpoint that caused the attempt's failure; nil: none
 	sentAt       time.Duration
 	state        attemptState
+	placement    Placement     // of the endpoint when the attempt was decided; the list may have moved the endpoint since
 	repeat       RepeatVerdict // of the idempotency rule, when the attempt was decided
 
 	cachedOnly      bool    // the source answers from its cache only
--- a/cmd/hillknot/repeats_test.go
+++ b/cmd/hillknot/repeats_test.go
@@ -112,3 +112,40 @@
 		})
 	}
 }
+
+// A page cache is listed in another cell while it works on a keyed request. The page caches of that cell do not know the
+// request, so it must not run again there; one of the cell in which it was sent drops the repeat.
+func TestKeyedRequestIsRepeatedInTheCellOfItsSend(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		cell     int // of the page cache that joins
+		repeated bool
+	}{
+		{"another cache in the new cell", 2, false},
+		{"another cache in the old cell", 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newKeyedRouter(t, "cell", "hub", 9)
+			r.start()
+			client := r.dial()
+			client.request(1, "part", map[string]string{"unique": "7a"})
+			first := r.nextAttempt()
+			joins := r.newEndpoint("s-1")
+			r.endpoints = append(r.endpoints, joins)
+			r.acceptWatch("1").sendEndpoints(2, false, r.cache.entryIn("box", "e", 2, "ready"), joins.entryIn("box", "e", test.cell, "ready"))
+			r.waitForEndpoint(r.dial(), 100, joins)
+			resetConnection(first)
+			if !test.repeated {
+				client.expect(1, "Failed")
+				r.expectNoAttempt("after the page cache has moved")
+				return
+			}
+			repeat := r.nextAttempt()
+			if repeat.endpoint != joins || repeat.requestID != first.requestID {
+				t.Errorf("the repeat is %+v, want the same request at %s", repeat, joins.id)
+			}
+			repeat.serve("x")
+			client.expect(1, "x")
+		})
+	}
+}
