core: look again at where an endpoint is listed before an attempt is written

Callers saw: the repeat of a keyed request waits for a connection to a page cache of the right cell; the list moves that page cache to another cell; the connection comes up, and the request is written to it, whose peers do not know the key.

Cause: Permit looks again at drains, the deadline and the window as bytes are written, but not at the zone and cell that the decision rests on; the core did not even keep them.

Change: Permit ends an attempt whose endpoint is listed elsewhere than when it was decided, as one that never ran, and the module decides again. The core's own notion of the window (mayRetry) is gone: Permit and the run-time check ask RepeatRule.Check of balancer/repeats.go, with where and when the first attempt that may have run was sent, so `rule violated` now also covers the scope. A class that the settings do not know counts as not idempotent in the core, as it does in the module.

--- a/cmd/hillknot/discovery_test.go
+++ b/cmd/hillknot/discovery_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // An event that arrives truncated, or is missing between two others, is requested again. Otherwise a drain in it would be lost
@@ -104,17 +103,7 @@
 	r.endpoints = append(r.endpoints, next)
 	watch.sendEndpoints(2, false, r.endpoints[0].listEntry("draining"), next.listEntry("ready"))
 	probe := r.dial()
-	for id, known := 2, false; !known; id++ { // until the router has the list; before, the probe is rejected at its deadline
-		probe.request(id, "page", map[string]string{"limit": "60"})
-		probe.expectReady(1000 + id)
-		select {
-		case attempt := <-r.messages:
-			attempt.serve("v")
-			probe.expect(id, "v")
-			known = true
-		case <-time.After(10 * time.Millisecond):
-			probe.expect(id, "Throttled")
-		}
+	for id := 2; r.probe(probe, id) == nil; id++ { // until the router has the list; before, the probe is rejected at its deadline
 	}
 	release()
 	attempt := r.nextAttempt() // nothing was written on the connection that came up late
--- a/cmd/hillknot/repeats_test.go
+++ b/cmd/hillknot/repeats_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"net"
+	"strconv"
 	"testing"
+	"time"
 )
 
 // keyedRouter is a router whose clients send keyed requests, and whose parent and origin accept attempts of its own.
@@ -149,3 +152,62 @@
 		})
 	}
 }
+
+// probe sends a request with little time and returns the endpoint that got it, or nil if it waited for a connection until the
+// client's time was over.
+func (r *testRouter) probe(client *testClient, id int) *fakeEndpoint {
+	r.t.Helper()
+	const limit = 60 * time.Millisecond
+	client.request(id, "page", map[string]string{"limit": strconv.Itoa(int(limit.Milliseconds()))})
+	attempt, ok := r.attemptWithin(limit, id)
+	if ok {
+		attempt.serve("v")
+	}
+	answer, err := client.read() // on a slow machine the endpoint's answer may come too late
+	if err != nil || answer.id != id || answer.content() != "v" && answer.content() != "Throttled" {
+		r.t.Fatalf("answer to probe %d: %+v, error %v", id, answer, err)
+	}
+	return attempt.endpoint
+}
+
+// attemptWithin returns the next attempt of a request, if one comes in time. It skips all other messages.
+func (r *testRouter) attemptWithin(limit time.Duration, id int) (attempt endpointMessage, ok bool) {
+	for end := time.After(limit); ; {
+		select {
+		case message := <-r.messages:
+			if message.kind == attemptMessage && message.requestID == fmt.Sprintf("%016x", id) {
+				return message, true
+			}
+		case <-end:
+			return endpointMessage{}, false
+		}
+	}
+}
+
+// A repeat has been decided for a page cache of the cell, which is listed in another cell before its connection comes up. Nothing
+// is written to it then.
+func TestKeyedRequestIsNotWrittenAfterAMove(t *testing.T) {
+	r := newKeyedRouter(t, "cell", "hub", 9)
+	r.start()
+	client := r.dial()
+	client.request(1, "part", map[string]string{"unique": "7a"})
+	first := r.nextAttempt()
+	moves := r.newEndpoint("s-1")
+	release := moves.holdConnections()
+	defer release()
+	stays := r.newEndpoint("s-2")
+	r.endpoints = append(r.endpoints, moves, stays)
+	watch := r.acceptWatch("1")
+	watch.sendEndpoints(2, false, moves.entryIn("box", "e", 1, "ready"), r.cache.entryIn("box", "e", 1, "draining"))
+	probe := r.dial()
+	for id := 100; r.probe(probe, id) != nil; id++ { // until requests wait for a connection to the page cache that will move
+	}
+	resetConnection(first)
+	client.expectReady(9) // the repeat has been decided
+	watch.sendEndpoints(3, false, moves.entryIn("box", "e", 2, "ready"), stays.entryIn("box", "e", 2, "ready"))
+	for id := 200; r.probe(probe, id) != stays; id++ { // until the router has applied the move
+	}
+	release()
+	client.expect(1, "Failed")
+	r.expectNoAttempt("after the page cache has moved")
+}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -67,11 +67,12 @@
 	BrokenConns   int           // connections that broke before the attempt was written in full; the upstream counts them
 	NonIdempotent bool          // a repeat of the request may do harm
 
-	owner    *request
-	sentAt   time.Duration
-	deadline time.Duration
-	timeout  *timer // ends the attempt; nil: its request's deadline does
-	done     bool
+	owner     *request
+	sentAt    time.Duration
+	placement balancer.Placement // of Endpoint when the attempt was decided
+	deadline  time.Duration
+	timeout   *timer // ends the attempt; nil: its request's deadline does
+	done      bool
 }
 
 // AttemptResult is how an attempt ended.
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -43,7 +43,7 @@
 		Endpoint:      c.endpoints.byID[decision.Endpoint],
 		Decision:      decision,
 		Index:         decision.Attempt,
-		NonIdempotent: r.policy.nonIdempotent,
+		NonIdempotent: r.policy.nonIdempotent(),
 		owner:         r,
 		sentAt:        c.iteration.now,
 		deadline:      r.deadline,
@@ -51,6 +51,9 @@
 	if decision.Timeout > 0 {
 		a.deadline = min(a.deadline, c.iteration.now+decision.Timeout)
 	}
+	if a.Endpoint != nil {
+		a.placement = a.Endpoint.placement
+	}
 	if decision.Source != decision.Endpoint {
 		a.Source = c.endpoints.byID[decision.Source]
 	}
@@ -59,8 +62,8 @@
 
 // Permit returns balancer.OK if an attempt may be written now, and else the status and detail with which the attempt
 // ends. A decision from before a connection came up may no longer hold: an endpoint may be draining, as the target or
-// as the source of a fill; the client's time may be over, or the time within which page caches drop a duplicate.
-// Permit also sets the attempt's Timeout.
+// as the source of a fill, or may have moved to another zone or cell; the client's time may be over, or the time within
+// which page caches drop a duplicate. Permit also sets the attempt's Timeout.
 func (c *Core) Permit(a *Attempt) (balancer.Status, balancer.Detail) {
 	c.applyLateWatchEvents()
 	now := c.clock()
@@ -68,10 +71,10 @@
 	switch {
 	case a.done || now >= a.deadline:
 		return balancer.NotSent, balancer.NoDetail
-	case r.mayHaveRun && !r.policy.mayRetry(now-r.mayHaveRunSince):
-		return balancer.NotSent, balancer.NoDetail
-	case a.Endpoint.State != balancer.InService:
+	case a.Endpoint.State != balancer.InService || a.Endpoint.placement != a.placement:
 		return balancer.ConnectFailed, balancer.NoDetail
+	case !r.checkRepeat(a.Endpoint, now).Allowed():
+		return balancer.NotSent, balancer.NoDetail
 	case a.needsSource() && (a.Source == nil || a.Source.State != balancer.InService):
 		return balancer.Rejected, balancer.SourceRejected
 	}
@@ -97,8 +100,8 @@
 	c.timers.remove(a.timeout)
 	r := a.owner
 	r.attempt, r.attemptAwaitingPermission = nil, nil
-	if !r.mayHaveRun && !result.Status.NeverRan() {
-		r.mayHaveRun, r.mayHaveRunSince = true, a.sentAt
+	if !result.Status.NeverRan() {
+		r.recordExecution(a)
 	}
 	c.stats.attemptsEnded[result.Status]++
 	c.traceAttemptEnd(a, result)
--- a/internal/core/attempts_test.go
+++ b/internal/core/attempts_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// An endpoint moves to another cell or zone between the decision and the write. Its new peers do not drop repeats of what is
+// written now, so the attempt must not be written, and the module decides again.
+func TestNoPermitForEndpointThatMoved(t *testing.T) {
+	for name, moved := range map[string]EndpointUpdate{
+		"another cell": {Kind: "box", Zone: "edge", Cell: 3},
+		"another zone": {Kind: "box", Zone: "hub"},
+	} {
+		h := newHarness(t)
+		h.submit("page", second)
+		a := h.outstanding[0]
+		moved.ID, moved.Addr = a.Endpoint.ID, a.Endpoint.Addr
+		h.core.UpdateEndpoints([]EndpointUpdate{moved})
+		s, _ := h.core.Permit(a)
+		if !s.NeverRan() {
+			t.Errorf("%s: status %d, want one that proves that the attempt never ran", name, s)
+		}
+		h.finish(a, AttemptResult{Status: s})
+		if len(h.outstanding) != 1 || len(h.answers) != 0 {
+			t.Errorf("%s: %d attempts are open, answers %+v; want another attempt", name, len(h.outstanding), h.answers)
+		}
+	}
+}
+
 // A result that comes after the attempt was cancelled is ignored.
 func TestResultAfterCancelIsIgnored(t *testing.T) {
 	h := newHarness(t)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -46,7 +46,7 @@
 // replicateOrder replicates a request if it is an order, and reports whether the request goes on. An order is rejected
 // if no other router takes a record of it.
 func (c *Core) replicateOrder(r *request) bool {
-	if c.extensions.orders == nil || !r.policy.nonIdempotent {
+	if c.extensions.orders == nil || !r.policy.nonIdempotent() {
 		return true
 	}
 	if err := c.extensions.orders.Replicate(&r.Request, r.deadline-c.iteration.now); err != nil {
--- a/internal/core/policy.go
+++ b/internal/core/policy.go
@@ -13,13 +13,16 @@
 	warmUpTimes   map[string]time.Duration // by kind of endpoint: how long an endpoint warms up after its start
 }
 
-// classPolicy holds the settings of a class of requests. It is the zero value for an unknown class.
+// classPolicy holds the settings of a class of requests. It is the zero value for an unknown class, whose requests are not
+// idempotent.
 type classPolicy struct {
-	nonIdempotent     bool          // a retry may do harm once a request may have run; a client may not be told otherwise
-	retryWindow       time.Duration // if nonIdempotent: for how long a retry is safe after an attempt that may have run; 0: never
+	repeat            balancer.RepeatRule
 	freshnessLifetime time.Duration // how long a cached copy is fresh; 0: until it is purged
 }
 
+// nonIdempotent reports whether a retry may do harm once a request may have run. A client may not be told otherwise then.
+func (p classPolicy) nonIdempotent() bool { return p.repeat.Idempotency != balancer.Idempotent }
+
 func newRequestPolicy(settings *balancer.Settings) requestPolicy {
 	p := requestPolicy{
 		classes:       map[string]classPolicy{},
@@ -27,11 +30,7 @@
 		warmUpTimes:   map[string]time.Duration{},
 	}
 	for _, class := range settings.Classes {
-		policy := classPolicy{nonIdempotent: class.Idempotency != balancer.Idempotent, freshnessLifetime: class.FreshnessLifetime}
-		if class.Idempotency == balancer.IdempotentByKey {
-			policy.retryWindow = class.DedupWindow
-		}
-		p.classes[class.Name] = policy
+		p.classes[class.Name] = classPolicy{repeat: class.RepeatRule(), freshnessLifetime: class.FreshnessLifetime}
 	}
 	for i, kind := range settings.Topology.Kinds {
 		switch i {
@@ -44,8 +43,3 @@
 	}
 	return p
 }
-
-// mayRetry reports whether another attempt does no harm when the first attempt that may have run was sent sinceFirst ago.
-func (p classPolicy) mayRetry(sinceFirst time.Duration) bool {
-	return !p.nonIdempotent || sinceFirst < p.retryWindow
-}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -28,10 +28,10 @@
 	deadline       time.Duration // the router answers by then
 	clientDeadline time.Duration // the client stops waiting then; not before deadline
 
-	expiry          *timer        // comes at the deadline, while the request is open
-	attempt         *Attempt      // the attempt that is open; nil: none
-	mayHaveRun      bool          // an attempt may have run
-	mayHaveRunSince time.Duration // when the first attempt that may have run was sent
+	expiry     *timer             // comes at the deadline, while the request is open
+	attempt    *Attempt           // the attempt that is open; nil: none
+	mayHaveRun bool               // an attempt may have run
+	execution  balancer.Execution // if mayHaveRun: the first attempt that may have run
 
 	reservation Reservation // credit set aside; nil: none
 
@@ -42,7 +42,22 @@
 }
 
 // retryIsHarmless reports whether the client may be told that a retry does no harm, given the attempts sent so far.
-func (r *request) retryIsHarmless() bool { return !r.policy.nonIdempotent || !r.mayHaveRun }
+func (r *request) retryIsHarmless() bool { return !r.policy.nonIdempotent() || !r.mayHaveRun }
+
+// checkRepeat decides whether an attempt at an endpoint may follow at the given time, by the module's rule.
+func (r *request) checkRepeat(e *Endpoint, now time.Duration) balancer.RepeatVerdict {
+	if !r.mayHaveRun {
+		return balancer.NothingRan
+	}
+	return r.policy.repeat.Check(r.execution, e.placement, now)
+}
+
+// recordExecution records that an attempt of the request may have run.
+func (r *request) recordExecution(a *Attempt) {
+	if !r.mayHaveRun {
+		r.mayHaveRun, r.execution = true, balancer.Execution{SentAt: a.sentAt, Placement: a.placement}
+	}
+}
 
 // requestTable holds the open requests.
 type requestTable struct {
@@ -125,7 +140,7 @@
 	}
 	c.traceRequest(r)
 	c.addRequest(r)
-	if q.ResumesTxn != "" && r.policy.nonIdempotent {
+	if q.ResumesTxn != "" && r.policy.nonIdempotent() {
 		c.claimOrder(r)
 		return
 	}
@@ -199,7 +214,7 @@
 		return
 	}
 	a := c.rejection()
-	if r.state == requestClaiming || !r.retryIsHarmless() || r.policy.nonIdempotent && r.attempt != nil {
+	if r.state == requestClaiming || !r.retryIsHarmless() || r.policy.nonIdempotent() && r.attempt != nil {
 		a = failedAnswer
 	}
 	c.emit(balancer.ClientAborted{ID: r.id})
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -41,7 +41,7 @@
 	if a.Timeout > r.clientDeadline-c.clock()+deadlineSlack {
 		c.reportViolation(ruleDeadline, r)
 	}
-	if r.mayHaveRun && !r.policy.mayRetry(a.sentAt-r.mayHaveRunSince) {
+	if !r.checkRepeat(a.Endpoint, a.sentAt).Allowed() {
 		c.reportViolation(ruleRetry, r)
 	}
 }
--- a/internal/core/rules_test.go
+++ b/internal/core/rules_test.go
@@ -20,7 +20,13 @@
 			h.core.AttemptWritten(a)
 		},
 		"a retry": func(h *harness, a *Attempt) {
-			a.owner.mayHaveRun, a.owner.mayHaveRunSince = true, a.sentAt
+			a.owner.recordExecution(a)
+			h.core.AttemptWritten(a)
+		},
+		"a repeat in another zone": func(h *harness, a *Attempt) {
+			a.owner.policy.repeat = balancer.RepeatRule{Idempotency: balancer.IdempotentByKey, DedupWindow: second}
+			a.placement.Zone = "hub"
+			a.owner.recordExecution(a)
 			h.core.AttemptWritten(a)
 		},
 		"a request that is over": func(h *harness, a *Attempt) {
