soak: keyed requests in cells, direct attempts, and a judge for repeats and rejections

From what page caches got it is judged that a request that may have run goes only to its cell and only within the window, and, for orders as well, that it is not rejected afterwards. The summary says how many repeats were judged.

--- a/loadtest/endpoints.go
+++ b/loadtest/endpoints.go
@@ -13,6 +13,7 @@
 	MachineType     string `json:"machineType,omitempty"`
 	State           string `json:"lifecycle"`
 	Weight          int    `json:"weight,omitempty"`
+	Cell            int    `json:"cell,omitempty"`
 	StartedAtMillis int64  `json:"startedAtMs"` // Unix time; 0: started before the list was sent
 }
 
@@ -35,6 +36,17 @@
 	return endpoint{ID: id, Address: address, Zone: zoneEdge, MachineType: machineSmall, State: state, Weight: 1}
 }
 
+// noCell is the cell of an endpoint that is in none.
+const noCell = 0
+
+// cellOf returns the cell of a page cache by its number in the fleet. Page caches are spread over the cells in turn.
+func cellOf(number, cells int) int {
+	if cells == 0 {
+		return noCell
+	}
+	return 1 + number%cells
+}
+
 // endpointList is an event of the discovery service about endpoints.
 type endpointList struct {
 	Generation int        `json:"generation"`
--- a/loadtest/fleet.go
+++ b/loadtest/fleet.go
@@ -36,6 +36,8 @@
 	Sockets        int  // descriptors that a router may hold; 0: the default
 	MemoryMB       int  // memory that a router may use; 0: the default
 
+	Cells       int           // of the page caches; 0: they are in none
+	KeyedWindow time.Duration // for which the page caches of a cell drop repeats of a keyed class; 0: there is no such class
 	MaxDeadline time.Duration // bounds the deadlines of all classes; 0: their defaults
 
 	Answer   func(cache int, request fakes.Request) fakes.Reply // nil: Backend answers
@@ -114,7 +116,9 @@
 			address = f.options.Address(i)
 		}
 		e := newEndpoint(endpointName(i), address, stateReady)
+		e.Cell = cellOf(i, f.options.Cells)
 		if i == f.options.Caches {
+			e.Cell = noCell
 			e.Zone, e.MachineType = zoneHub, machineOrigin
 		}
 		list = append(list, e)
--- a/loadtest/routerconfig.go
+++ b/loadtest/routerconfig.go
@@ -11,6 +11,7 @@
 	classScore = "full-score"
 	classPage  = "part-page"
 	classOrder = "new-arrange" // not idempotent: it may run once at most
+	classKeyed = "part-note"   // with an idempotency key: page caches of one cell drop repeats
 )
 
 // How a page cache warms up after its start.
@@ -80,6 +81,8 @@
 	Objective      int64  `json:"promiseUs"`
 	Deadline       int64  `json:"deadlineUs"`
 	PriorityWeight int    `json:"worth"`
+	DedupGroup     string `json:"group,omitempty"`    // of page caches that drop repeats of a keyed request
+	DedupWindow    int64  `json:"windowUs,omitempty"` // for how long they do
 }
 
 type routerSpecifics struct {
@@ -89,6 +92,7 @@
 	ClassWrites    []bool  `json:"classWrite"`
 	ClassFreshFor  []int64 `json:"classFreshUs"`
 	PurgeTakes     int64   `json:"purgeTakesUs"`
+	DirectAttempts bool    `json:"passThroughOk,omitempty"`
 }
 
 // deadline returns the deadline of a class whose default is given.
@@ -119,14 +123,29 @@
 				MaxAttempts: 6, RetryAfter: f.options.RetryAfter, MaxRetryAfter: micros(500 * time.Millisecond)},
 			Invariants: routerInvariants{WarmUpFrom: warmUpFrom, SlowStart: micros(slowStart), OverloadWindow: micros(overloadWindow),
 				OverloadFactor: f.options.OverloadFactor},
-			Classes: []routerClass{
-				{classScore, "safe", micros(400 * time.Millisecond), micros(f.options.deadline(5 * second)), 2},
-				{classPage, "safe", micros(250 * time.Millisecond), micros(f.options.deadline(3 * second)), 1},
-				{classOrder, "unsafe", micros(700 * time.Millisecond), micros(f.options.deadline(3 * second)), 3},
-			},
+			Classes: f.options.routerClasses(),
 			Specifics: routerSpecifics{RoutersByZone: []int{0, f.options.KnownRouters}, MiddleMachine: -1, StorageMachine: 1,
-				ClassWrites: []bool{false, false, true}, ClassFreshFor: []int64{0, micros(20 * second), 0},
-				PurgeTakes: micros(6 * second)},
+				ClassWrites: []bool{false, false, true, false}, ClassFreshFor: []int64{0, micros(20 * second), 0, 0},
+				PurgeTakes: micros(6 * second), DirectAttempts: f.options.KeyedWindow > 0},
 		},
 	})
 }
+
+// routerClasses returns the classes of requests that a router serves.
+func (o *FleetOptions) routerClasses() []routerClass {
+	const second = time.Second
+	micros := time.Duration.Microseconds
+	classes := []routerClass{
+		{Name: classScore, Repeat: "safe", Objective: micros(400 * time.Millisecond), Deadline: micros(o.deadline(5 * second)),
+			PriorityWeight: 2},
+		{Name: classPage, Repeat: "safe", Objective: micros(250 * time.Millisecond), Deadline: micros(o.deadline(3 * second)),
+			PriorityWeight: 1},
+		{Name: classOrder, Repeat: "unsafe", Objective: micros(700 * time.Millisecond), Deadline: micros(o.deadline(3 * second)),
+			PriorityWeight: 3},
+	}
+	if o.KeyedWindow > 0 {
+		classes = append(classes, routerClass{Name: classKeyed, Repeat: "keyed", Objective: micros(700 * time.Millisecond),
+			Deadline: micros(o.deadline(3 * second)), PriorityWeight: 2, DedupGroup: "cell", DedupWindow: micros(o.KeyedWindow)})
+	}
+	return classes
+}
--- a/loadtest/soak.go
+++ b/loadtest/soak.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"hillknot/internal/rpc"
 	"hillknot/internal/testutil/fakes"
 )
 
@@ -83,7 +84,11 @@
 	s := &soakRun{settings: settings, start: time.Now(), history: newSoakHistory(), routersInUse: map[*Router]bool{},
 		drainingCaches: map[*soakCache]bool{}, monitors: map[*Router]*processMonitor{}, seed: seed, maxDeadline: soakMaxDeadline(seed)}
 	for i := range settings.Caches + 1 {
-		cache, err := newSoakCache(endpointName(i), s.history, seed+uint64(i))
+		cell := cellOf(i, soakCells(seed))
+		if i == settings.Caches { // the origin
+			cell = noCell
+		}
+		cache, err := newSoakCache(endpointName(i), cell, s.history, seed+uint64(i))
 		if err != nil {
 			return nil, err
 		}
@@ -93,7 +98,7 @@
 	var err error
 	s.Fleet, err = StartFleet(settings.Program, FleetOptions{Routers: settings.Routers, RetryAfter: true, Caches: settings.Caches,
 		KnownRouters: settings.Routers, OverloadFactor: soakOverloadFactor, Sockets: soakSockets(seed), MemoryMB: soakMemoryMB,
-		MaxDeadline: s.maxDeadline, Operator: soakOperatorFile,
+		MaxDeadline: s.maxDeadline, Operator: soakOperatorFile, Cells: soakCells(seed), KeyedWindow: soakWindow(seed),
 		Address: func(cache int) string { return s.soakCaches[cache].Addr() },
 		Answer:  func(int, fakes.Request) fakes.Reply { return fakes.Reply{} }})
 	if err != nil {
@@ -115,7 +120,9 @@
 	var goroutines []*goroutineMonitor
 	for i, r := range s.Routers {
 		goroutines = append(goroutines, startGoroutineMonitor(r, soakMonitorInterval))
-		clients.Go(func() { newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i), s.maxDeadline).run(stop) })
+		client := newSoakClient(r.ListenAddress, s.history, seed<<16|uint64(i), s.maxDeadline)
+		client.sendsKeyed = hasKeyedClass(seed)
+		clients.Go(func() { client.run(stop) })
 		if hasIdleClients(seed) {
 			clients.Go(func() { holdIdleConns(r.ListenAddress, stop) })
 		}
@@ -156,7 +163,7 @@
 			switch answer.code {
 			case "":
 				served++
-			case "Throttled":
+			case rpc.CodeThrottled:
 				rejected++
 			default:
 				failed++
@@ -164,8 +171,8 @@
 		}
 	}
 	return fmt.Sprintf("%d requests, %d served, %d rejected, %d failed, %d attempts, at most %.0f MB, %d descriptors, %d goroutines, "+
-		"%d faults (%s)", len(h.requests), served, rejected, failed, len(h.attempts), s.use.memoryMB, s.use.descriptors, s.goroutines,
-		len(s.faults), formatKindCounts(s.faults))
+		"%d keyed repeats, %d faults (%s)", len(h.requests), served, rejected, failed, len(h.attempts), s.use.memoryMB, s.use.descriptors,
+		s.goroutines, h.keyedRepeats, len(s.faults), formatKindCounts(s.faults))
 }
 
 // printFaults prints the faults, with their start and end in seconds since the start of the seed.
--- a/loadtest/soakcache.go
+++ b/loadtest/soakcache.go
@@ -13,6 +13,7 @@
 type soakCache struct {
 	*fakes.Server
 	name    string
+	cell    int
 	history *soakHistory
 
 	mu      sync.Mutex
@@ -46,13 +47,20 @@
 )
 
 // newSoakCache starts a page cache. The caller closes it.
-func newSoakCache(name string, history *soakHistory, seed uint64) (*soakCache, error) {
-	c := &soakCache{name: name, history: history, random: rand.New(rand.NewPCG(seed, 7))}
+func newSoakCache(name string, cell int, history *soakHistory, seed uint64) (*soakCache, error) {
+	c := &soakCache{name: name, cell: cell, history: history, random: rand.New(rand.NewPCG(seed, 7))}
 	var err error
 	c.Server, err = fakes.Listen("127.0.0.1:0", func(conn net.Conn) { newSoakSession(c, conn).serve() })
 	return c, err
 }
 
+// listEntry returns the page cache as the discovery service lists it.
+func (c *soakCache) listEntry(state string) endpoint {
+	e := newEndpoint(c.name, c.Addr(), state)
+	e.Cell = c.cell
+	return e
+}
+
 // misbehave sets how the page cache answers for a length of time.
 func (c *soakCache) misbehave(mode cacheMode, length time.Duration) {
 	c.mu.Lock()
--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -16,6 +16,7 @@
 	random  *rand.Rand
 	lastTxn uint64
 
+	sendsKeyed bool          // it also sends requests of classKeyed
 	maxTimeout time.Duration // of a request; 0: that of soakMinTimeoutMillis and soakTimeoutSpreadMillis
 }
 
@@ -138,11 +139,13 @@
 	if c.maxTimeout > 0 { // a router accepts no longer one
 		message.TimeoutMillis = min(message.TimeoutMillis, c.maxTimeout.Milliseconds())
 	}
-	switch c.random.IntN(8) {
-	case 0:
+	switch draw := c.random.IntN(8); {
+	case draw == 0:
 		message.Method, message.Item, message.Body = classOrder, c.random.Uint64(), []byte("order")
-	case 1:
+	case draw == 1:
 		message.Method = classScore
+	case c.sendsKeyed && draw <= soakKeyedDraws+1:
+		message.Method = classKeyed
 	}
 	request := &soakRequest{txn: message.Txn, router: c.address, class: message.Method,
 		timeout: time.Duration(message.TimeoutMillis) * time.Millisecond, sent: time.Now(), readSlowly: s.readsSlowly}
--- a/loadtest/soakfaults.go
+++ b/loadtest/soakfaults.go
@@ -150,7 +150,7 @@
 
 // publishDrain publishes that a page cache drains or is gone, and then records that at once.
 func (s *soakRun) publishDrain(cache *soakCache, state string) {
-	s.publishEndpoints(newEndpoint(cache.name, cache.Addr(), state))
+	s.publishEndpoints(cache.listEntry(state))
 	s.history.update(func() {
 		s.history.drains[cache.name] = append(s.history.drains[cache.name], interval{start: time.Now()})
 	})
@@ -163,7 +163,7 @@
 		drains := s.history.drains[cache.name]
 		drains[len(drains)-1].end = time.Now()
 	})
-	e := newEndpoint(cache.name, cache.Addr(), stateReady)
+	e := cache.listEntry(stateReady)
 	e.StartedAtMillis = time.Now().UnixMilli()
 	s.publishEndpoints(e)
 	s.history.update(func() {
--- a/loadtest/soakhistory.go
+++ b/loadtest/soakhistory.go
@@ -15,6 +15,8 @@
 	purges   map[string][]time.Time // by object
 	outages  []interval             // of the discovery service, in the order of their starts
 
+	keyedRepeats int // attempts of keyed requests after one that may have run, as far as they were checked
+
 	stops  map[string][]interval  // by router address: times for which its process was stopped
 	kills  map[string][]time.Time // by router address
 	starts map[string][]time.Time // by router address, without the first start
@@ -53,6 +55,7 @@
 	class   string
 	object  string
 	cache   string
+	cell    int    // of the page cache
 	source  string // endpoint from which the page cache is to fill
 	timeout time.Duration
 	maxAge  time.Duration // of a copy that the router accepts; 0: any
--- a/loadtest/soakinvariants.go
+++ b/loadtest/soakinvariants.go
@@ -44,9 +44,7 @@
 	}
 	for txn, requestAttempts := range attempts {
 		checkConcurrency(requestAttempts, report)
-		if r := h.requests[txn]; r != nil && r.class == classOrder {
-			checkOrderRuns(requestAttempts, report)
-		}
+		h.checkRuns(h.requests[txn], requestAttempts, report)
 	}
 	h.checkSlowStart(report)
 	s.mu.Lock()
@@ -162,6 +160,21 @@
 	}
 }
 
+// checkRuns checks that a request ran again only as its class allows. The request is nil if no client sent it.
+func (h *soakHistory) checkRuns(r *soakRequest, attempts []*soakAttempt, report reportViolation) {
+	if r == nil {
+		return
+	}
+	switch r.class {
+	case classOrder:
+		checkOrderRuns(attempts, report)
+		checkRejection(r, attempts, report)
+	case classKeyed:
+		h.checkKeyedRuns(attempts, report)
+		checkRejection(r, attempts, report)
+	}
+}
+
 // checkOrderRuns checks that an order can't have run more than once.
 func checkOrderRuns(attempts []*soakAttempt, report reportViolation) {
 	ran := 0
--- a/loadtest/soaksession.go
+++ b/loadtest/soaksession.go
@@ -83,7 +83,7 @@
 // receive records an attempt, and answers it according to the mode of the page cache.
 func (s *soakSession) receive(id, fields string) {
 	attempt := parseSoakAttempt(id, fields)
-	attempt.cache = s.cache.name
+	attempt.cache, attempt.cell = s.cache.name, s.cache.cell
 	mode, delay := s.cache.drawAnswer()
 	attempt.ran = mode != modeFull
 	s.cache.history.update(func() { s.cache.history.attempts = append(s.cache.history.attempts, attempt) })
