--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -213,3 +213,20 @@
 		}
 	}
 }
+
+// The rule has the last word on what any way proposes, also on a way that does not ask it.
+func TestForbiddenProposalIsNotSent(t *testing.T) {
+	cache, outside := inCell(1, listedEndpoint(1, "box", "edge")), inCell(2, listedEndpoint(2, "box", "edge"))
+	r := newRig(t, keyedSettings(), []Endpoint{cache, listedEndpoint(20, "store", "hub")})
+	first := r.request("read in cell", 5)
+	r.handle(EndpointUpdate{Endpoints: []Endpoint{outside}})
+	q, endpoints := r.balancer.requests.byID[first.ID], r.balancer.endpoints.byID
+	q.attempts[0].state = attemptMayHaveRun
+	if a := r.balancer.permitted(q, attempt{endpoint: endpoints[2]}); a.endpoint != nil {
+		t.Errorf("an attempt outside the scope is permitted: %s", a.repeat)
+	}
+	a := r.balancer.permitted(q, attempt{endpoint: endpoints[1]})
+	if a.endpoint != endpoints[1] || a.repeat != RepeatDeduplicated || a.placement != endpoints[1].placement {
+		t.Errorf("an attempt within the scope: %+v, want it permitted", a)
+	}
+}
--- a/balancer/routing.go
+++ b/balancer/routing.go
@@ -5,14 +5,17 @@
 // This file chooses the endpoint of an attempt and the source that a miss is filled from. An attempt without an
 // endpoint means that there is no capacity now.
 
-// chooseAttempt chooses the next attempt of a request. It is the only way to an endpoint, and the idempotency rule has the
-// last word here: each way below also asks it, to find an endpoint that is allowed.
+// chooseAttempt chooses the next attempt of a request. It is the only way to an endpoint.
 func (b *Balancer) chooseAttempt(r *request) attempt {
-	choose := b.routeRead
 	if b.isWrite(r) {
-		choose = b.routeWrite
+		return b.permitted(r, b.routeWrite(r))
 	}
-	a := choose(r)
+	return b.permitted(r, b.routeRead(r))
+}
+
+// permitted returns an attempt with the verdict of the idempotency rule, or an empty one if the rule forbids its endpoint. The
+// rule has the last word here, whichever way has proposed the endpoint; the ways also ask it, to find one that is allowed.
+func (b *Balancer) permitted(r *request, a attempt) attempt {
 	if a.endpoint == nil {
 		return attempt{}
 	}
