--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -230,3 +230,26 @@
 		t.Errorf("an attempt within the scope: %+v, want it permitted", a)
 	}
 }
+
+// While an attempt is in flight no other one is allowed, unless the class is idempotent and attempts may be hedged.
+func TestOpenAttemptForbidsAnother(t *testing.T) {
+	for _, test := range []struct {
+		class   string
+		hedging bool
+		want    RepeatVerdict
+	}{
+		{"page", true, RepeatHarmless},
+		{"page", false, AttemptOpen},
+		{"pay", true, AttemptOpen},
+		{"once", true, AttemptOpen},
+	} {
+		settings := testSettings()
+		settings.Capabilities.Hedging = test.hedging
+		r := newRig(t, settings, testEndpoints())
+		first := r.request(test.class, 5)
+		q := r.balancer.requests.byID[first.ID]
+		if got := r.balancer.checkRepeatAnywhere(q); got != test.want {
+			t.Errorf("%s, hedging %t: %s, want %s", test.class, test.hedging, got, test.want)
+		}
+	}
+}
