--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -12,9 +12,6 @@
 	"hillknot/internal/config"
 	"hillknot/internal/core"
 	"hillknot/internal/discovery"
-	"hillknot/internal/frontend/admin"
-	"hillknot/internal/frontend/agentcheck"
-	"hillknot/internal/frontend/dns"
 	"hillknot/internal/frontend/msgpackrpc"
 	"hillknot/internal/handover"
 	"hillknot/internal/jsonfields"
@@ -57,27 +54,6 @@
 	closers          []func() // called by close in reverse order
 }
 
-// frontEnd is a server that accepts calls on its own socket.
-type frontEnd interface {
-	Serve() error
-	Close()
-}
-
-// namedFrontEnd is a front end with the name that log lines give it.
-type namedFrontEnd struct {
-	frontEnd
-	name string
-}
-
-// clientFrontEnd is the name of the front end that serves clients. The router shuts down if it fails.
-const clientFrontEnd = "clients"
-
-// frontEndFailure holds what Serve of a front end returned. err is nil if the front end has stopped accepting.
-type frontEndFailure struct {
-	name string
-	err  error
-}
-
 // runRouter serves until the process receives SIGTERM or SIGINT and every request that was read has its final answer. On
 // SIGHUP it reads the configuration again.
 func runRouter(options routerOptions) error {
@@ -224,34 +200,6 @@
 	return r.listenOtherFrontEnds(budget)
 }
 
-// listenOtherFrontEnds opens the sockets of the front ends that the configuration enables, except that of clients.
-func (r *router) listenOtherFrontEnds(budget *netio.Budget) error {
-	limits := r.cfg.Limits
-	if r.cfg.DNS.Listen != "" {
-		front, err := dns.Listen(r.core, r.cfg.DNS, limits, budget)
-		if err != nil {
-			return fmt.Errorf("dns front end: %w", err)
-		}
-		r.otherFrontEnds = append(r.otherFrontEnds, namedFrontEnd{front, "dns"})
-	}
-	if r.cfg.AgentCheckAddr != "" {
-		front, err := agentcheck.Listen(r.cfg.AgentCheckAddr, r.core, limits)
-		if err != nil {
-			return fmt.Errorf("agent check front end: %w", err)
-		}
-		r.otherFrontEnds = append(r.otherFrontEnds, namedFrontEnd{front, "agent check"})
-	}
-	if r.cfg.AdminAddr != "" {
-		front, err := admin.Listen(r.cfg.AdminAddr, r.core, limits, budget)
-		if err != nil {
-			return fmt.Errorf("admin front end: %w", err)
-		}
-		r.adminAddr = front.Addr()
-		r.otherFrontEnds = append(r.otherFrontEnds, namedFrontEnd{front, "admin"})
-	}
-	return nil
-}
-
 // findPredecessor connects to the process that this one replaces and sets the limits that the two processes share. It
 // returns nil if there is no such process.
 func (r *router) findPredecessor() *handover.Predecessor {
@@ -276,19 +224,6 @@
 	}
 }
 
-// startOtherFrontEnds starts all front ends except that of clients.
-func (r *router) startOtherFrontEnds() {
-	// The channel has room for one failure of each front end, so that no goroutine blocks when Serve returns.
-	r.frontEndFailures = make(chan frontEndFailure, len(r.otherFrontEnds)+1)
-	for _, front := range r.otherFrontEnds {
-		r.onClose(front.Close)
-		go func() {
-			defer logging.ReportPanic(log)
-			r.frontEndFailures <- frontEndFailure{front.name, front.Serve()}
-		}()
-	}
-}
-
 // takeOver imports the state of the predecessor. It does nothing if predecessor is nil. If a termination is requested
 // before the predecessor has been told that this process is ready, the clients stay with the predecessor and takeOver
 // returns errTerminated.
@@ -342,9 +277,6 @@
 	}
 }
 
-// keyFrontEnd is the log attribute key for the name of a front end.
-const keyFrontEnd = "front_end"
-
 // onClose registers f, which close calls before the functions that were registered earlier.
 func (r *router) onClose(f func()) { r.closers = append(r.closers, f) }
 
--- a/internal/cluster/failover/replica.go
+++ b/internal/cluster/failover/replica.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -17,70 +16,6 @@
 	owners  map[Incarnation]*ownerLease
 }
 
-// recordState is the state of a record.
-type recordState uint8
-
-const (
-	recordOwnerOnly    recordState = iota // the owner may use another replica by now
-	recordTransferable                    // this replica may pass it on if the owner is lost
-	recordMaySend                         // the owner may send the order; no other router ever may
-	recordBlocked                         // it was recordOwnerOnly, and the owner is lost: this replica never lets the order be sent
-	recordOrphaned                        // it was recordTransferable, and the owner is lost: one router may run the order
-	recordGiven                           // one claimant has the order
-	recordRunning                         // this router runs the order
-	recordEnded                           // the outcome is known
-)
-
-// recordContents says how much of its order a record holds.
-type recordContents uint8
-
-const (
-	contentsUnknown  recordContents = iota // the txn, the owner and the outcome, but not the order itself
-	contentsComplete                       // the order, as its owner sent it
-	contentsReserved                       // only the txn, reserved for a claimant: no owner can store the order here
-)
-
-// record is a replica's knowledge of one order.
-type record struct {
-	order    Order
-	contents recordContents
-	owner    Incarnation
-	session  uint64
-	state    recordState
-	deadline time.Duration // when the client gives up
-	forgetAt time.Duration
-	outcome  Outcome // of recordEnded
-	waiters  []waiter
-	givenTo  waiter // of recordGiven
-}
-
-// ownerDecides reports whether the owner still decides who may run the order.
-func (r *record) ownerDecides() bool { return r.state <= recordMaySend }
-
-// isGivenTo reports whether the order was given to a claimant in that process.
-func (r *record) isGivenTo(claimant Incarnation) bool {
-	return r.state == recordGiven && r.givenTo.Incarnation == claimant
-}
-
-// giveTo gives the order to a claimant, or only its txn if the contents are contentsReserved.
-func (r *record) giveTo(w waiter) { r.state, r.givenTo = recordGiven, w }
-
-// reserveFor reserves the txn for a claimant. From then on no other router can get permission to send the order from this
-// replica.
-func (r *record) reserveFor(w waiter) {
-	r.contents = contentsReserved
-	r.giveTo(w)
-}
-
-// waiter identifies a claim whose claimant gets an update about an order.
-type waiter struct {
-	Incarnation        // of the claimant
-	claim       uint64 // the claim's number at the claimant
-}
-
-// maxWaiters bounds the claimants that wait for one order.
-const maxWaiters = 8
-
 // ownerLease is the lease of a router whose orders this router holds records of.
 type ownerLease struct {
 	session         uint64 // the latest session that the owner has used
@@ -241,75 +176,6 @@
 	c.stored.ended = slices.DeleteFunc(c.stored.ended, func(txn string) bool { return c.stored.records[txn] == nil })
 }
 
-// checkOwnerLeases takes over the orders of owners whose lease has expired. It forgets an owner without open orders once
-// its lease expired at least Settings.Retention ago.
-func (c *Coordinator) checkOwnerLeases(now time.Duration) {
-	for _, owner := range slices.SortedFunc(maps.Keys(c.stored.owners), compareIncarnations) {
-		lease := c.stored.owners[owner]
-		switch {
-		case now < lease.expiresAt:
-		case len(lease.openRecords) > 0:
-			c.takeOver(now, owner, lease)
-		case now >= lease.expiresAt+c.settings.Retention:
-			delete(c.stored.owners, owner)
-		}
-	}
-}
-
-func compareIncarnations(a, b Incarnation) int {
-	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(int64(a.Process-b.Process), 0))
-}
-
-// takeOver takes over the open orders of an owner whose lease has expired.
-func (c *Coordinator) takeOver(now time.Duration, owner Incarnation, lease *ownerLease) {
-	lease.lastLostSession = lease.session
-	c.counters.OwnersLost++
-	c.trace(eventOwnerLost, "", owner.Name)
-	for _, txn := range slices.Sorted(maps.Keys(lease.openRecords)) {
-		c.counters.OrdersTakenOver++
-		c.takeOverRecord(now, owner, lease.openRecords[txn])
-	}
-	clear(lease.openRecords)
-}
-
-// takeOverRecord passes an order of a lost owner on to the first waiting claimant, or has it run here if no claimant
-// waits. An order that the owner may have sent ends as MayHaveRun, and one that the owner may have replicated elsewhere is
-// blocked here.
-func (c *Coordinator) takeOverRecord(now time.Duration, owner Incarnation, r *record) {
-	switch r.state {
-	case recordMaySend:
-		c.endRecord(now, r, Outcome{Kind: MayHaveRun})
-		return
-	case recordOwnerOnly:
-		r.state = recordBlocked
-	default:
-		r.state = recordOrphaned
-	}
-	r.owner = Incarnation{} // from now on messages of the lost owner about the order are rejected
-	c.trace(eventOrphaned, r.order.Txn, owner.Name)
-	if len(r.waiters) == 0 {
-		c.runOrphan(now, r)
-		return
-	}
-	first := r.waiters[0]
-	r.waiters = r.waiters[1:]
-	c.updateClaimant(now, r.order.Txn, first, c.recordReply(now, r, first))
-}
-
-// runOrphan has the caller run an orphaned order without its client, if its body is here and its deadline has not passed.
-// Otherwise the order waits for a claim, which may bring the missing body; without a claim it never runs.
-func (c *Coordinator) runOrphan(now time.Duration, r *record) {
-	if r.state != recordOrphaned || !r.order.BodyComplete || now >= r.deadline {
-		return
-	}
-	r.state = recordRunning
-	order := r.order
-	order.TimeLeft = r.deadline - now
-	c.counters.OrdersRun++
-	c.trace(eventRunHere, order.Txn, "")
-	c.addAction(Action{Kind: ActionRun, Txn: order.Txn, Order: order})
-}
-
 // recordReply returns the reply to a claimant of a record's order. The claimant's digest must match the order, unless the
 // record only reserves the txn. If the order may be passed on, the reply gives it to the claimant.
 func (c *Coordinator) recordReply(now time.Duration, r *record, w waiter) reply {
