--- a/balancer/repeats.go
+++ b/balancer/repeats.go
@@ -62,14 +62,14 @@
 		return EffectNotRepeatable
 	case now-earlier.SentAt >= rule.DedupWindow:
 		return DedupWindowOver
-	case !rule.shareScope(earlier.Placement, placement):
+	case !rule.inSameScope(earlier.Placement, placement):
 		return OutsideDedupScope
 	}
 	return RepeatDeduplicated
 }
 
-// shareScope reports whether endpoints with two placements drop each other's repeats.
-func (rule RepeatRule) shareScope(x, y Placement) bool {
+// inSameScope reports whether endpoints with two placements drop each other's repeats.
+func (rule RepeatRule) inSameScope(x, y Placement) bool {
 	switch rule.DedupScope {
 	case DedupEverywhere:
 		return true
