TestFragmentedRequestsAreNotMixedUp: health requests of each round have their own ids

The log at level debug shows why: the router closed the connection, with the reason "duplicate message id", as the test reused the ids of its health requests in each round while those of an earlier round could still wait for the core. Two open requests with one id are a violation of the protocol, and the router treats it as it should: it answers what is open and closes.

Each round has ids of its own now; what is checked stays the same.

--- a/cmd/hillknot/fragments_test.go
+++ b/cmd/hillknot/fragments_test.go
@@ -39,7 +39,8 @@
 		sendFragments(random, clients, encodeTaggedRequests(random, len(clients), round))
 		for i, client := range clients {
 			for n := range healthRequestsPerRound { // so that the buffers are reused
-				client.write(encodeRequest(firstHealthID+n, "health", strings.Repeat("z", 3000), nil))
+				id := firstHealthID + round*healthRequestsPerRound + n // earlier ones may have no answer yet
+				client.write(encodeRequest(id, "health", strings.Repeat("z", 3000), nil))
 			}
 			release[i]()
 		}
