balancer: a request leaves a page cache at which the router gave it up

A page cache resets a connection while the others are full. The upstream client never sends a request again to an endpoint that may hold it, and said so as Rejected, which means full now; the module queued the request, looked again in the same turn and found the same endpoint, until no attempt was left.

The status is Abandoned now, and checkRepeat forbids that endpoint from then on. The request waits for another page cache, or is answered at once where there is none.

Tests of the upstream client demanded Rejected for these attempts and demand Abandoned now, which no response of an endpoint can cause: stricter than before.

--- a/balancer/attempts.go
+++ b/balancer/attempts.go
@@ -66,6 +66,7 @@
 	if status.NeverRan() {
 		a.state = attemptNeverRan
 	}
+	a.abandoned = status == Abandoned
 	a.endpoint.inFlight--
 	b.link.inFlight -= a.fillProbability
 	if source := a.fillSource(); source != nil {
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -120,11 +120,12 @@
 	Cancelled            // cancelled by CancelAttempt; it may have run
 	NotSent              // the router did not send it
 	Miss                 // a cached copy was asked for, and there is no usable one
+	Abandoned            // the router gave up the request at this endpoint before, and never sends it there again
 )
 
 // NeverRan reports whether the status proves that the attempt had no effect.
 func (s Status) NeverRan() bool {
-	return s == Rejected || s == ConnectFailed || s == NotSent || s == Miss
+	return s == Rejected || s == ConnectFailed || s == NotSent || s == Miss || s == Abandoned
 }
 
 // Detail is how a response was produced or why a fill failed, where the cache reports it.
--- a/balancer/repeats.go
+++ b/balancer/repeats.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file holds the idempotency rule: whether an attempt may follow earlier attempts of the same request, and at which
 // endpoints. Every attempt is checked against it, as it is decided and again as it is written.
@@ -41,11 +44,12 @@
 	DedupWindowOver                          // endpoints may have forgotten the idempotency key
 	OutsideDedupScope                        // the endpoint does not know the idempotency key
 	AttemptOpen                              // an attempt is in flight, and only one may be
+	AbandonedAtEndpoint                      // the router never sends the request to this endpoint again
 )
 
 // repeatVerdictNames are the names of the verdicts in the log.
 var repeatVerdictNames = [...]string{"nothing-ran", "repeat-harmless", "repeat-deduplicated", "effect-not-repeatable",
-	"dedup-window-over", "outside-dedup-scope", "attempt-open"}
+	"dedup-window-over", "outside-dedup-scope", "attempt-open", "abandoned-at-endpoint"}
 
 // String returns the name of the verdict in the log.
 func (v RepeatVerdict) String() string { return repeatVerdictNames[v] }
@@ -81,6 +85,9 @@
 
 // checkRepeat decides whether a request may be sent to an endpoint now, given its earlier attempts.
 func (b *Balancer) checkRepeat(r *request, e *endpoint) RepeatVerdict {
+	if r.abandonedAt(e) {
+		return AbandonedAtEndpoint
+	}
 	return b.checkEarlierAttempts(r, func(earlier Execution) RepeatVerdict {
 		return r.class.RepeatRule().Check(earlier, e.placement, b.now)
 	})
@@ -112,6 +119,11 @@
 	return verdict
 }
 
+// abandonedAt reports whether the router gave up the request at an endpoint, and so never sends it there again.
+func (r *request) abandonedAt(e *endpoint) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.abandoned && a.endpoint == e })
+}
+
 // mayHedge reports whether two attempts of a request may be in flight at once.
 func (b *Balancer) mayHedge(r *request) bool {
 	return b.settings.Capabilities.Hedging && r.class.Idempotency == Idempotent
--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -253,3 +253,32 @@
 		}
 	}
 }
+
+// The router does not send a request again to a cache at which it gave the request up. The request keeps its other attempts
+// until another cache has room. Where there is no other cache, it is rejected at once.
+func TestRequestLeavesCacheThatAbandonedIt(t *testing.T) {
+	for _, class := range []string{"page", "read anywhere", "pay"} {
+		r := newRig(t, keyedSettings(), []Endpoint{listedEndpoint(1, "box", "edge"), listedEndpoint(2, "box", "edge"),
+			listedEndpoint(11, "mid", "hub")})
+		first := r.request(class, 5)
+		other := r.balancer.endpoints.byID[3-first.Endpoint]
+		other.concurrencyLimit = 0
+		again := sentAttempts(r.finish(first, 0, Reset, NoDetail))
+		if len(again) != 1 || again[0].Endpoint != first.Endpoint {
+			t.Fatalf("%s: attempts %+v after a reset, want one at the only cache with room", class, again)
+		}
+		if actions := r.finish(again[0], 1, Abandoned, NoDetail); len(sentAttempts(actions))+len(finalAnswers(actions)) > 0 {
+			t.Errorf("%s: actions %+v while the other cache is full, want none", class, actions)
+		}
+		other.concurrencyLimit = 9
+		if sent := sentAttempts(r.advance(scanInterval)); len(sent) != 1 || sent[0].Endpoint != other.id {
+			t.Errorf("%s: attempts %+v, want one at the other cache", class, sent)
+		}
+	}
+	r := newRig(t, keyedSettings(), []Endpoint{listedEndpoint(1, "box", "edge"), listedEndpoint(11, "mid", "hub")})
+	first := r.request("page", 5)
+	r.finish(first, 0, Reset, NoDetail)
+	if answers := finalAnswers(r.finish(first, 1, Abandoned, NoDetail)); len(answers) != 1 {
+		t.Errorf("answers %+v without another cache, want one", answers)
+	}
+}
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -65,13 +65,18 @@
 	case a.endpoint != nil:
 		r.phase = requestActive
 		b.sendAttempt(r, a)
-	case len(b.endpoints.caches) > 0 && b.mayQueue(r):
+	case b.hasCacheFor(r) && b.mayQueue(r):
 		r.phase = requestQueued
 	default:
 		b.rejectOrFail(r)
 	}
 }
 
+// hasCacheFor reports whether the zone has an edge cache at which the request was not abandoned.
+func (b *Balancer) hasCacheFor(r *request) bool {
+	return slices.ContainsFunc(b.endpoints.caches, func(e *endpoint) bool { return !r.abandonedAt(e) })
+}
+
 func (b *Balancer) maxAttempts() int { return max(b.settings.MaxAttempts, 1) }
 
 // isWrite reports whether a request runs at the origin and leaves no copy in a cache.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -171,6 +171,7 @@
 	placement    Placement     // of the endpoint when the attempt was decided; the list may have moved the endpoint since
 	repeat       RepeatVerdict // of the idempotency rule, when the attempt was decided
 
+	abandoned       bool    // it ended with the status Abandoned
 	cachedOnly      bool    // the source answers from its cache only
 	toSecondHome    bool    // the fill goes to the second home, to keep that one warm
 	late            bool    // a scan found that it takes too long for the latency objective
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -112,7 +112,7 @@
 func (c *Core) CountRefusal(reason RefusalReason) { c.stats.refusals[reason].Add(1) }
 
 // attemptStatusCount is the number of statuses of package balancer.
-const attemptStatusCount = balancer.Miss + 1
+const attemptStatusCount = balancer.Abandoned + 1
 
 var attemptStatusTexts = [attemptStatusCount]string{
 	balancer.OK:            "ok",
@@ -124,6 +124,7 @@
 	balancer.Cancelled:     "cancelled",
 	balancer.NotSent:       "not sent",
 	balancer.Miss:          "miss",
+	balancer.Abandoned:     "abandoned before",
 }
 
 // LabelledCount is a counter with the value of its label.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,7 +56,7 @@
 	p := cl.pool(a.Endpoint)
 	cl.closeExpired(p)
 	if p.abandoned.contains(a.Request.Txn) { // see recentRequests: the core must choose another endpoint
-		cl.complete(a, balancer.Rejected)
+		cl.complete(a, balancer.Abandoned)
 		return
 	}
 	c := p.pick(a)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -24,7 +24,7 @@
 }
 
 // A cancellation is written before the next attempt, and the connection stays in use. A response that crosses the
-// cancellation is ignored. A new attempt of the same request at this endpoint is rejected: on another connection the
+// cancellation is ignored. A new attempt of the same request is not sent to this endpoint: on another connection the
 // endpoint could read it before the cancellation, and would hold two copies, as happened in the scenario join+mass.
 func TestCancelIsWrittenBeforeNextAttempt(t *testing.T) {
 	h := newHarness(t)
@@ -36,7 +36,7 @@
 	h.expectLine(r, "QUIT t1")
 	h.expectLine(r, "ASK t2 ")
 	h.send("t1")
-	h.expectResult(balancer.Rejected)
+	h.expectResult(balancer.Abandoned)
 	h.send("t3")
 	_, other := h.accept()
 	h.expectLine(other, "ASK t3 ") // t1 was not written before t3 on any connection
@@ -57,7 +57,7 @@
 	fmt.Fprint(nc, "garbage\r\n")
 	h.expectResult(balancer.Reset)
 	h.send("t1")
-	h.expectResult(balancer.Rejected)
+	h.expectResult(balancer.Abandoned)
 	h.send("t2")
 	_, other := h.accept()
 	h.expectLine(other, "ASK t2 ")
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -46,7 +46,7 @@
 	h.expectResult(balancer.Miss)
 	h.expectLine(r, "QUIT t2")
 	h.send("t2")
-	h.expectResult(balancer.Rejected)
+	h.expectResult(balancer.Abandoned)
 }
 
 // If an idle connection was reset, an attempt that is sent on it next has not run, and is sent again on a new connection.
