Soak: times are those of the events, not of the lock that records them

A run with the bytes of each evicted connection shows that the router is right: it evicts idle connections whose input is all taken. The judge had taken the time of the send before it waited for the history's lock, up to 155 ms, and the end behind it.

A send counts from its write now, an answer and an end from the read, an abandoned request from the close or the cancel. No tolerance is changed.

--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -1,8 +1,10 @@
 package loadtest
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"hillknot/internal/rpc"
@@ -113,7 +115,7 @@
 func (s *soakConn) misbehave(action clientAction, id uint64, request *soakRequest) (done bool) {
 	switch action {
 	case actionDisconnect:
-		s.abandonAll()
+		s.abandonAll(func() { _ = s.conn.Close() }) // it may have ended already
 		return true
 	case actionCancel:
 		s.cancel(id, request)
@@ -123,8 +125,7 @@
 		s.awaitAnswers()
 		return true
 	case actionMalformed:
-		s.abandonAll()
-		_, _ = s.conn.Write([]byte("\xc1 nonsense")) // the reader records the end here, too
+		s.abandonAll(func() { _, _ = s.conn.Write([]byte("\xc1 nonsense")) }) // the reader records the end here, too
 		return true
 	}
 	return false
@@ -148,37 +149,46 @@
 		message.Method = classKeyed
 	}
 	request := &soakRequest{txn: message.Txn, router: c.address, class: message.Method,
-		timeout: time.Duration(message.TimeoutMillis) * time.Millisecond, sent: time.Now(), readSlowly: s.readsSlowly}
+		timeout: time.Duration(message.TimeoutMillis) * time.Millisecond, readSlowly: s.readsSlowly}
+	encoded := rpc.AppendRequest(nil, id, message)
 	c.history.update(func() {
 		c.history.requests[request.txn] = request
 		s.inFlight[id] = request
-		if s.connEnded { // the request crosses the end of the connection, so that the router does not read it
+		request.sent = time.Now() // the wait for the lock is over
+		if s.connEnded {          // the request crosses the end of the connection, so that the router does not read it
 			request.disconnected = request.sent
 		}
 	})
-	_, _ = s.conn.Write(rpc.AppendRequest(nil, id, message)) // the reader records the end of the connection after the answers
+	if _, err := s.conn.Write(encoded); err != nil {
+		s.recordEnd(time.Now()) // the reader may find the end later
+	}
 	return request
 }
 
-// abandonAll records that the client no longer waits for the requests in flight.
-func (s *soakConn) abandonAll() {
+// abandonAll abandons the requests in flight by an action on the connection.
+func (s *soakConn) abandonAll(act func()) {
+	var abandoned []*soakRequest
 	s.client.history.update(func() {
-		for _, request := range s.inFlight {
-			request.abandoned = time.Now()
-		}
+		abandoned = slices.Collect(maps.Values(s.inFlight))
 		clear(s.inFlight)
+		s.client.history.abandon(abandoned)
 	})
+	act()
+	s.client.history.update(func() { s.client.history.abandon(abandoned) })
 }
 
 // cancel cancels a request, which may still be answered.
 func (s *soakConn) cancel(id uint64, request *soakRequest) {
+	var abandoned []*soakRequest
 	s.client.history.update(func() {
 		if s.inFlight[id] != nil {
-			request.abandoned = time.Now()
+			abandoned = append(abandoned, request)
 			delete(s.inFlight, id)
 		}
+		s.client.history.abandon(abandoned)
 	})
 	_, _ = s.conn.Write(rpc.AppendCancel(nil, id)) // a router that has ended needs no cancel
+	s.client.history.update(func() { s.client.history.abandon(abandoned) })
 }
 
 // awaitAnswers waits up to answerTimeout until all requests are answered.
@@ -205,17 +215,27 @@
 func (s *soakConn) read() {
 	defer close(s.readerDone)
 	readResponses(s.conn, func(header rpc.ResponseHeader) {
+		received := time.Now()
 		s.client.history.update(func() {
 			if request := s.inFlight[header.ID]; request != nil {
-				request.answers = append(request.answers, soakAnswer{received: time.Now(), code: string(header.Code)})
+				request.answers = append(request.answers, soakAnswer{received: received, code: string(header.Code)})
 			}
 		})
 	})
+	s.recordEnd(time.Now())
+}
+
+// recordEnd records that the connection had ended at a time. The first report counts. Answers that are still to be read count,
+// too.
+func (s *soakConn) recordEnd(at time.Time) {
 	s.client.history.update(func() {
+		if s.connEnded {
+			return
+		}
 		s.connEnded = true
 		for _, request := range s.inFlight {
 			if len(request.answers) == 0 {
-				request.disconnected = time.Now()
+				request.disconnected = at
 			}
 		}
 	})
