--- a/balancer/repeats_test.go
+++ b/balancer/repeats_test.go
@@ -255,7 +255,7 @@
 }
 
 // The router does not send a request again to a cache at which it gave the request up. The request keeps its other attempts
-// until another cache has room. Where there is no other cache, it is rejected at once.
+// until another cache has room.
 func TestRequestLeavesCacheThatAbandonedIt(t *testing.T) {
 	for _, class := range []string{"page", "read anywhere", "pay"} {
 		r := newRig(t, keyedSettings(), []Endpoint{listedEndpoint(1, "box", "edge"), listedEndpoint(2, "box", "edge"),
@@ -275,10 +275,21 @@
 			t.Errorf("%s: attempts %+v, want one at the other cache", class, sent)
 		}
 	}
-	r := newRig(t, keyedSettings(), []Endpoint{listedEndpoint(1, "box", "edge"), listedEndpoint(11, "mid", "hub")})
-	first := r.request("page", 5)
-	r.finish(first, 0, Reset, NoDetail)
-	if answers := finalAnswers(r.finish(first, 1, Abandoned, NoDetail)); len(answers) != 1 {
-		t.Errorf("answers %+v without another cache, want one", answers)
+}
+
+// Where the only cache has abandoned a request, the request gets its one answer at once: a rejection only if a retry is harmless.
+func TestRequestAbandonedByTheOnlyCacheIsAnswered(t *testing.T) {
+	for class, want := range map[string]Action{
+		"page": Reject{ID: 1}, "read anywhere": Reject{ID: 1}, "read in cell": Fail{ID: 1}, "write in zone": Fail{ID: 1},
+	} {
+		r := newRig(t, keyedSettings(), []Endpoint{listedEndpoint(1, "box", "edge"), listedEndpoint(11, "mid", "hub")})
+		first := r.request(class, 5)
+		if again := sentAttempts(r.finish(first, 0, Reset, NoDetail)); len(again) != 1 {
+			t.Fatalf("%s: attempts %+v after a reset, want one", class, again)
+		}
+		answers := finalAnswers(r.finish(first, 1, Abandoned, NoDetail))
+		if later := finalAnswers(r.advance(3 * sec)); len(answers) != 1 || answers[0] != want || len(later) > 0 {
+			t.Errorf("%s: answers %#v at once and %#v later, want %#v and none", class, answers, later, want)
+		}
 	}
 }
--- a/cmd/hillknot/abandoned_test.go
+++ b/cmd/hillknot/abandoned_test.go
@@ -15,7 +15,10 @@
 	for id := range requests {
 		client.request(id, "page", nil)
 	}
-	held := r.attemptsUntilQuiet()
+	held := r.collectAttempts()
+	if len(held) == 0 {
+		t.Fatal("no attempt has arrived")
+	}
 	victim := held[0]
 	resetConnection(victim)
 	time.Sleep(20 * time.Millisecond) // the router reads the reset before it reads responses
@@ -24,44 +27,12 @@
 			attempt.serve("x")
 		}
 	}
-	stop := make(chan struct{})
+	stop := make(chan bool)
 	defer close(stop)
-	go r.serveAttempts(stop)
+	go r.handleAttempts(stop, func(attempt endpointMessage) { attempt.serve("x") })
 	for range requests {
 		if answer, err := client.read(); err != nil || answer.content() != "x" {
 			t.Errorf("answer to %d: %q, error %v, want x", answer.id, answer.content(), err)
 		}
 	}
 }
-
-// attemptsUntilQuiet returns the attempts that arrive until none has arrived for a while.
-func (r *testRouter) attemptsUntilQuiet() (attempts []endpointMessage) {
-	r.t.Helper()
-	for {
-		select {
-		case message := <-r.messages:
-			if message.kind == attemptMessage {
-				attempts = append(attempts, message)
-			}
-		case <-time.After(100 * time.Millisecond):
-			if len(attempts) == 0 {
-				r.t.Fatal("no attempt has arrived")
-			}
-			return attempts
-		}
-	}
-}
-
-// serveAttempts serves each attempt until stop is closed.
-func (r *testRouter) serveAttempts(stop <-chan struct{}) {
-	for {
-		select {
-		case message := <-r.messages:
-			if message.kind == attemptMessage {
-				message.serve("x")
-			}
-		case <-stop:
-			return
-		}
-	}
-}
--- a/cmd/hillknot/fragments_test.go
+++ b/cmd/hillknot/fragments_test.go
@@ -33,7 +33,7 @@
 	stop, stopped := make(chan bool), make(chan bool)
 	go func() {
 		defer close(stopped)
-		r.serveTaggedRequests(stop)
+		r.handleAttempts(stop, r.serveTagged)
 	}()
 	for round := range fragmentRounds {
 		sendFragments(random, clients, encodeTaggedRequests(random, len(clients), round))
@@ -80,28 +80,17 @@
 	}
 }
 
-// serveTaggedRequests serves each attempt until stop is closed. It checks that the key, the id and the body of an attempt belong
-// together.
-func (r *testRouter) serveTaggedRequests(stop <-chan bool) {
-	for {
-		select {
-		case attempt := <-r.messages:
-			if attempt.kind != attemptMessage {
-				continue
-			}
-			id, _, _ := strings.Cut(attempt.body, "-")
-			n, err := strconv.Atoi(id)
-			if err != nil {
-				r.t.Errorf("the body %.30q of an attempt names no request", attempt.body)
-			}
-			if attempt.fields["token"] != "k"+id || attempt.requestID != fmt.Sprintf("%016x", n) {
-				r.t.Errorf("the attempt for %s has the key %s and the body of %s", attempt.requestID, attempt.fields["token"], id)
-			}
-			attempt.serve("of " + attempt.body)
-		case <-stop:
-			return
-		}
+// serveTagged serves an attempt. It checks that the key, the id and the body of the attempt belong together.
+func (r *testRouter) serveTagged(attempt endpointMessage) {
+	id, _, _ := strings.Cut(attempt.body, "-")
+	n, err := strconv.Atoi(id)
+	if err != nil {
+		r.t.Errorf("the body %.30q of an attempt names no request", attempt.body)
+	}
+	if attempt.fields["token"] != "k"+id || attempt.requestID != fmt.Sprintf("%016x", n) {
+		r.t.Errorf("the attempt for %s has the key %s and the body of %s", attempt.requestID, attempt.fields["token"], id)
 	}
+	attempt.serve("of " + attempt.body)
 }
 
 // expectOwnAnswers reads the answers of a round. Each must answer a request of the client with this index. Health answers are
--- a/cmd/hillknot/harness_endpoint_test.go
+++ b/cmd/hillknot/harness_endpoint_test.go
@@ -170,6 +170,20 @@
 	return r.nextMessage(attemptMessage)
 }
 
+// handleAttempts calls handle with each attempt until stop is closed.
+func (r *testRouter) handleAttempts(stop <-chan bool, handle func(endpointMessage)) {
+	for {
+		select {
+		case message := <-r.messages:
+			if message.kind == attemptMessage {
+				handle(message)
+			}
+		case <-stop:
+			return
+		}
+	}
+}
+
 // nextCancel returns the next message of the router to an endpoint, which must be a cancel.
 func (r *testRouter) nextCancel() endpointMessage {
 	r.t.Helper()
--- a/internal/credit/transfers_test.go
+++ b/internal/credit/transfers_test.go
@@ -27,16 +27,22 @@
 	for _, test := range []struct {
 		name                string
 		acknowledged, kills bool
-		disks               int // of the receiver that are lost, one after the other
+		disks               int  // of the receiver that are lost, one after the other
+		senderDisk          bool // the sender's disk is lost, too
 	}{
-		{"acknowledged", true, false, 1},
-		{"acknowledgement lost", false, false, 1},
-		{"acknowledgement lost, sender killed", false, true, 1},
-		{"acknowledgement lost, two disks lost", false, false, 2},
+		{"acknowledged", true, false, 1, false},
+		{"acknowledgement lost", false, false, 1, false},
+		{"acknowledgement lost, sender killed", false, true, 1, false},
+		{"acknowledgement lost, two disks lost", false, false, 2, false},
+		{"acknowledgement lost, disks of sender and receiver lost", false, true, 1, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(1, 3)
-			c.fund(TopUp{ID: "first", Account: "a", Amount: 30_000_000, Routers: []string{"r0"}}, c.routers...)
+			funded := []string{"r0"}
+			if test.senderDisk {
+				funded = append(funded, "r2") // which remembers the sender's ledger
+			}
+			c.fund(TopUp{ID: "first", Account: "a", Amount: 30_000_000, Routers: funded}, c.routers...)
 			sender, receiver := c.routers[0], c.routers[1]
 			receiver.demand["a"] = 20
 			for range test.disks {
@@ -47,6 +53,9 @@
 				c.advance(2 * time.Second)
 				if test.kills {
 					c.kill(sender)
+					if test.senderDisk {
+						c.replaceDisk(sender)
+					}
 					c.start(sender)
 				}
 				c.kill(receiver)
@@ -152,6 +161,34 @@
 	}
 }
 
+// A request of a lost ledger comes late, while a transfer to the new one is under way. It begins a transfer of its own, whose
+// rights come back once the new ledger has refused it, and does not touch the other.
+func TestLateRequestOfLostLedger(t *testing.T) {
+	const lost, present = "the lost ledger", "the new ledger"
+	l := newSender(t, goldenCompletedTransfer, lost)
+	request := func(ledgerID string) *transfer {
+		l.receiveTransferRequest("r2", message{LedgerID: ledgerID, Account: "acme", Amount: 300})
+		if group := l.NextWrite(); group != nil {
+			l.WriteCompleted(time.Second, group, nil)
+		}
+		return l.transferTo("r2", ledgerID)
+	}
+	toPresent := request(present)
+	held := l.accounts["acme"].record.Rights
+	toLost := request(lost)
+	if toPresent.state != transferSent || toLost.state != transferSent || l.accounts["acme"].record.Rights >= held {
+		t.Fatalf("states %d and %d, want two transfers that are sent", toPresent.state, toLost.state)
+	}
+	l.transferCompleted(time.Second, toLost, messaging.Completion{Reply: []byte(ackOtherLedger)})
+	if got := l.accounts["acme"].record.Rights; got != held || toPresent.state != transferSent {
+		t.Errorf("%d rights and state %d after the refusal, want %d and %d", got, toPresent.state, held, transferSent)
+	}
+	l.transferCompleted(time.Second, toPresent, messaging.Completion{Reply: []byte(ackAccepted)})
+	if toPresent.state != transferIdle || l.accounts["acme"].record.Rights != held {
+		t.Errorf("state %d and %d rights at the end, want %d and %d", toPresent.state, l.accounts["acme"].record.Rights, transferIdle, held)
+	}
+}
+
 // Only so many ledgers of one router get transfers.
 func TestLedgersOfReceiverBounded(t *testing.T) {
 	l := newSender(t, goldenCompletedTransfer, "the first")
--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -165,30 +165,42 @@
 	return request
 }
 
-// abandonAll abandons the requests in flight by an action on the connection.
-func (s *soakConn) abandonAll(act func()) {
-	var abandoned []*soakRequest
+// abandon records that the client no longer waits for the requests that take returns, and acts so that its router can know. No
+// answer is due from before the act; the router can know from after it.
+func (s *soakConn) abandon(take func() []*soakRequest, act func()) {
+	var requests []*soakRequest
+	record := func() {
+		now := time.Now()
+		for _, request := range requests {
+			request.abandoned = now
+		}
+	}
 	s.client.history.update(func() {
-		abandoned = slices.Collect(maps.Values(s.inFlight))
-		clear(s.inFlight)
-		s.client.history.abandon(abandoned)
+		requests = take()
+		record()
 	})
 	act()
-	s.client.history.update(func() { s.client.history.abandon(abandoned) })
+	s.client.history.update(record)
+}
+
+// abandonAll abandons the requests in flight by an action on the connection.
+func (s *soakConn) abandonAll(act func()) {
+	s.abandon(func() []*soakRequest {
+		requests := slices.Collect(maps.Values(s.inFlight))
+		clear(s.inFlight)
+		return requests
+	}, act)
 }
 
 // cancel cancels a request, which may still be answered.
 func (s *soakConn) cancel(id uint64, request *soakRequest) {
-	var abandoned []*soakRequest
-	s.client.history.update(func() {
-		if s.inFlight[id] != nil {
-			abandoned = append(abandoned, request)
-			delete(s.inFlight, id)
+	s.abandon(func() []*soakRequest {
+		if s.inFlight[id] == nil {
+			return nil
 		}
-		s.client.history.abandon(abandoned)
-	})
-	_, _ = s.conn.Write(rpc.AppendCancel(nil, id)) // a router that has ended needs no cancel
-	s.client.history.update(func() { s.client.history.abandon(abandoned) })
+		delete(s.inFlight, id)
+		return []*soakRequest{request}
+	}, func() { _, _ = s.conn.Write(rpc.AppendCancel(nil, id)) }) // a router that has ended needs no cancel
 }
 
 // awaitAnswers waits up to answerTimeout until all requests are answered.
--- a/loadtest/soakhistory.go
+++ b/loadtest/soakhistory.go
@@ -83,15 +83,6 @@
 	change()
 }
 
-// abandon records that a client abandons requests now. It is called before the client acts, as no answer is due from then on, and
-// after it has acted, from when on the router can know. The caller holds the lock.
-func (h *soakHistory) abandon(requests []*soakRequest) {
-	now := time.Now()
-	for _, request := range requests {
-		request.abandoned = now
-	}
-}
-
 // runningFrom returns the earliest time, not before the given one, at which a router's process was not stopped.
 func (h *soakHistory) runningFrom(router string, at time.Time) time.Time {
 	for _, stop := range h.stops[router] {
