--- /dev/null
+++ b/review/stage/client.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"hillknot/internal/rpc"
+)
+
+// answer is what a client got for a request.
+type answer struct {
+	kind   string // "served", "Throttled", "Failed" and so on; "lost": the connection ended
+	body   string
+	reason string // of a refusal
+}
+
+// caller is one connection of a client, with one request at a time.
+type caller struct {
+	conn   net.Conn
+	nextID uint64
+}
+
+func dial(address string) (*caller, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &caller{conn: conn}, nil
+}
+
+// ask sends a request and waits for its answer, for half a second longer than the request's time.
+func (c *caller) ask(request rpc.Request) answer {
+	c.nextID++
+	wait := time.Duration(request.TimeoutMillis)*time.Millisecond + 500*time.Millisecond
+	_ = c.conn.SetDeadline(time.Now().Add(wait))
+	if _, err := c.conn.Write(rpc.AppendRequest(nil, c.nextID, &request)); err != nil {
+		return answer{kind: "lost"}
+	}
+	return c.read()
+}
+
+// read reads one answer.
+func (c *caller) read() answer {
+	const headerLimit, bodyLimit = 4 << 10, 1 << 20
+	var buffer []byte
+	for {
+		header, progress, err := rpc.ParseResponseHeader(buffer, headerLimit, bodyLimit)
+		if err != nil {
+			return answer{kind: "unreadable"}
+		}
+		if progress.Consumed > 0 {
+			if header.Kind == rpc.ResponseError {
+				return answer{kind: string(header.Code), reason: string(header.Fields.Reason)}
+			}
+			return c.readBody(buffer[progress.Consumed:], header.BodySize)
+		}
+		if buffer, err = c.more(buffer); err != nil {
+			return failure(err)
+		}
+	}
+}
+
+// readBody reads a body of the given size, of which a part is read already, and the fields after it.
+func (c *caller) readBody(buffer []byte, size int) answer {
+	const trailerLimit = 4 << 10
+	for {
+		if len(buffer) > size {
+			if _, progress, err := rpc.ParseResponseTrailer(buffer[size:], trailerLimit); err != nil {
+				return answer{kind: "unreadable"}
+			} else if progress.Consumed > 0 {
+				return answer{kind: "served", body: string(buffer[:size])}
+			}
+		}
+		var err error
+		if buffer, err = c.more(buffer); err != nil {
+			return failure(err)
+		}
+	}
+}
+
+func (c *caller) more(buffer []byte) ([]byte, error) {
+	chunk := make([]byte, 16<<10)
+	n, err := c.conn.Read(chunk)
+	if n > 0 {
+		return append(buffer, chunk[:n]...), nil
+	}
+	return buffer, err
+}
+
+func failure(err error) answer {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return answer{kind: "none"}
+	}
+	if errors.Is(err, io.EOF) {
+		return answer{kind: "lost"}
+	}
+	return answer{kind: "lost", body: fmt.Sprint(err)}
+}
+
+func (c *caller) close() { _ = c.conn.Close() }
+
+// askOnce asks over a connection of its own.
+func askOnce(address string, request rpc.Request) answer {
+	c, err := dial(address)
+	if err != nil {
+		return answer{kind: "unreachable"}
+	}
+	defer c.close()
+	return c.ask(request)
+}
--- /dev/null
+++ b/review/stage/stage.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// stage holds what all cases share: the record, a folder for files, and the processes to end.
+type stage struct {
+	dir     string // of files of the routers; removed at the end
+	trouble string // value of TROUBLE: "0" means no disruption
+
+	mu      sync.Mutex
+	record  *os.File
+	started time.Time
+	routers []*process
+}
+
+func newStage(recordPath string) (*stage, error) {
+	record, err := os.Create(recordPath)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	return &stage{dir: dir, trouble: os.Getenv("TROUBLE"), record: record, started: time.Now()}, nil
+}
+
+// calm reports whether the disruption is left out.
+func (s *stage) calm() bool { return s.trouble == "0" }
+
+// note writes a line to the record.
+func (s *stage) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line := fmt.Sprintf("%7.3f %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = s.record.WriteString(line)
+	_, _ = os.Stdout.WriteString(line)
+}
+
+// close ends all processes, adds what they logged to the record and removes the files.
+func (s *stage) close() {
+	for _, p := range s.routers {
+		p.kill()
+	}
+	for _, p := range s.routers {
+		s.addLog(p)
+	}
+	_ = s.record.Close()
+	_ = os.RemoveAll(s.dir)
+}
+
+// addLog adds the lines of a process's log that tell of its orders and of faults to the record.
+func (s *stage) addLog(p *process) {
+	log, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(s.record, "\nlog of %s:\n", p.label)
+	for line := range strings.Lines(strings.ReplaceAll(string(log), s.dir, "DIR")) {
+		if strings.Contains(line, "order step") || !strings.Contains(line, "level=DEBUG") {
+			_, _ = s.record.WriteString(line)
+		}
+	}
+}
+
+// taken holds the addresses that freeAddress has returned.
+var taken = map[string]bool{}
+
+// freeAddress returns a loopback address with a port that is free for TCP and UDP, each address once.
+func freeAddress() (string, error) {
+	for range 50 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		packets, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		if !taken[address] {
+			taken[address] = true
+			return address, nil
+		}
+	}
+	return "", fmt.Errorf("no free port")
+}
+
+// freeAddresses returns several free addresses.
+func freeAddresses(count int) (addresses []string, err error) {
+	for range count {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+// waitFor waits until a condition holds, and returns an error that names it if that takes too long.
+func waitFor(what string, limit time.Duration, holds func() bool) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return nil
+		}
+	}
+	return fmt.Errorf("waited for %v in vain: %s", limit, what)
+}
