--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -31,17 +31,24 @@
 	return &caller{conn: conn}, nil
 }
 
-// ask sends a request and waits for its answer, for half a second longer than the request's time.
+// ask sends a request and waits for its answer, for half a second longer than the request's time. If another request is open on
+// the connection, its answer must not come first.
 func (c *caller) ask(request rpc.Request) answer {
-	c.nextID++
-	wait := time.Duration(request.TimeoutMillis)*time.Millisecond + 500*time.Millisecond
-	_ = c.conn.SetDeadline(time.Now().Add(wait))
-	if _, err := c.conn.Write(rpc.AppendRequest(nil, c.nextID, &request)); err != nil {
+	if c.send(request) != nil {
 		return answer{kind: "lost"}
 	}
 	return c.read()
 }
 
+// send sends a request. The answer must come within half a second more than the request's time.
+func (c *caller) send(request rpc.Request) error {
+	c.nextID++
+	wait := time.Duration(request.TimeoutMillis)*time.Millisecond + 500*time.Millisecond
+	_ = c.conn.SetDeadline(time.Now().Add(wait))
+	_, err := c.conn.Write(rpc.AppendRequest(nil, c.nextID, &request))
+	return err
+}
+
 // read reads one answer.
 func (c *caller) read() answer {
 	const headerLimit, bodyLimit = 4 << 10, 1 << 20
