Review case 8: both processes of a router spend its shares after a failed handover

A new process whose predecessor stands still for 0.5 s takes it for absent, so both spend the router's shares of a budget.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*stage) error{
 	"6": replacedReplica,
 	"7": refusedClaim,
+	"8": sharedBudget,
 }
 
 func main() {
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -36,6 +36,8 @@
 	mu   sync.Mutex
 	runs map[string]int // by txn: how often the page cache ran an order
 	work map[string]time.Duration
+
+	script func(fakes.Request) fakes.Reply // answers instead, if it is set
 }
 
 // newSite starts the discovery service and a page cache. work says by class how long the page cache takes to answer; it
@@ -64,6 +66,9 @@
 
 // answer runs a request, notes it and answers it after the time that its class takes.
 func (t *site) answer(request fakes.Request) fakes.Reply {
+	if t.script != nil {
+		return t.script(request)
+	}
 	kind := request.Fields["kind"]
 	t.mu.Lock()
 	t.runs[request.ID]++
