--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -30,6 +30,7 @@
 type site struct {
 	stage     *stage
 	discovery *fakes.Discovery
+	origin    string // address of the origin
 	known     string // events of the start
 	keys      string // path of the file with the keys of the fleet
 
@@ -58,10 +59,16 @@
 	if t.discovery, err = fakes.NewDiscovery("127.0.0.1:0", 2); err != nil {
 		return nil, err
 	}
+	t.origin = origin.Addr()
+	t.list(cache.Addr())
+	return t, nil
+}
+
+// list has the configuration list a page cache, beside the origin.
+func (t *site) list(cacheAddress string) {
 	entry := `{"instanceId":%q,"hostPort":%q,"zone":%q,"machineType":%q,"cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`
 	t.known = fmt.Sprintf(`{"pos":1,"entries":[{"pos":1,"hosts":{"generation":1,"reset":true,"instances":[%s,%s]}}]}`,
-		fmt.Sprintf(entry, "s-1", cache.Addr(), "edge-1", "small"), fmt.Sprintf(entry, "s-2", origin.Addr(), "upper", "origin"))
-	return t, nil
+		fmt.Sprintf(entry, "s-1", cacheAddress, "edge-1", "small"), fmt.Sprintf(entry, "s-2", t.origin, "upper", "origin"))
 }
 
 // answer runs a request, notes it and answers it after the time that its class takes.
