--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by their numbers.
 var cases = map[string]func(*stage) error{
 	"6":  replacedReplica,
+	"7":  slowDiscovery,
 	"9":  refusedClaim,
 	"10": sharedBudget,
 }
