--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*stage) error{
 	"6":  replacedReplica,
 	"7":  slowDiscovery,
+	"8":  loneLedger,
 	"9":  refusedClaim,
 	"10": sharedBudget,
 }
