--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -45,8 +47,12 @@
 	}
 	result := make(chan error, 1)
 	go func() { result <- cases[os.Args[1]](s) }()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case err = <-result:
+	case <-interrupted:
+		err = errors.New("interrupted")
 	case <-time.After(longestRun):
 		err = errors.New("the case took too long")
 	}
--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -41,20 +42,32 @@
 		p.command.ExtraFiles = []*os.File{null, null, socket}
 		p.command.Env = append(p.command.Env, "RELAY_SOCKET_FD=5")
 	}
-	if err := p.command.Start(); err != nil {
+	if err := s.launch(p); err != nil {
 		return nil, fmt.Errorf("start %s: %w", program, err)
 	}
-	s.routers = append(s.routers, p)
 	s.note("%s started, pid %d", label, p.command.Process.Pid)
 	go func() {
-		err := p.command.Wait()
+		_ = p.command.Wait() // the state says the same
 		s.note("%s ended: %v", label, p.command.ProcessState)
-		_ = err // the state says the same
 		close(p.ended)
 	}()
 	return p, nil
 }
 
+// launch starts a process, unless all processes are being ended.
+func (s *stage) launch(p *process) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("the case has ended")
+	}
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	s.routers = append(s.routers, p)
+	return nil
+}
+
 // kill ends the process at once, and waits until it has ended.
 func (p *process) kill() {
 	_ = p.command.Process.Kill() // it may have ended already
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -18,6 +18,7 @@
 	record  *os.File
 	started time.Time
 	routers []*process
+	closed  bool // no process is started any more
 }
 
 func newStage(recordPath string) (*stage, error) {
@@ -46,10 +47,16 @@
 
 // close ends all processes, adds what they logged to the record and removes the files.
 func (s *stage) close() {
-	for _, p := range s.routers {
+	s.mu.Lock()
+	s.closed = true
+	routers := s.routers
+	s.mu.Unlock()
+	for _, p := range routers {
 		p.kill()
 	}
-	for _, p := range s.routers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range routers {
 		s.addLog(p)
 	}
 	_ = s.record.Close()
