--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -12,15 +12,18 @@
 
 // answer is what a client got for a request.
 type answer struct {
+	id     uint64 // of the request; 0: no answer could be read
 	kind   string // "served", "Throttled", "Failed" and so on; "lost": the connection ended
 	body   string
-	reason string // of a refusal
+	reason string        // of a refusal
+	later  time.Duration // how long a refused client is to stay away
 }
 
 // caller is one connection of a client, with one request at a time.
 type caller struct {
 	conn   net.Conn
 	nextID uint64
+	buffer []byte // bytes that were received and not parsed yet
 }
 
 func dial(address string) (*caller, error) {
@@ -52,49 +55,52 @@
 // read reads one answer.
 func (c *caller) read() answer {
 	const headerLimit, bodyLimit = 4 << 10, 1 << 20
-	var buffer []byte
 	for {
-		header, progress, err := rpc.ParseResponseHeader(buffer, headerLimit, bodyLimit)
+		header, progress, err := rpc.ParseResponseHeader(c.buffer, headerLimit, bodyLimit)
 		if err != nil {
 			return answer{kind: "unreadable"}
 		}
 		if progress.Consumed > 0 {
+			c.buffer = c.buffer[progress.Consumed:]
 			if header.Kind == rpc.ResponseError {
-				return answer{kind: string(header.Code), reason: string(header.Fields.Reason)}
+				return answer{id: header.ID, kind: string(header.Code), reason: string(header.Fields.Reason),
+					later: time.Duration(header.Fields.RetryAfterMillis()) * time.Millisecond}
 			}
-			return c.readBody(buffer[progress.Consumed:], header.BodySize)
+			return c.readBody(header.ID, header.BodySize)
 		}
-		if buffer, err = c.more(buffer); err != nil {
+		if err := c.more(); err != nil {
 			return failure(err)
 		}
 	}
 }
 
-// readBody reads a body of the given size, of which a part is read already, and the fields after it.
-func (c *caller) readBody(buffer []byte, size int) answer {
+// readBody reads a body of the given size and the fields after it.
+func (c *caller) readBody(id uint64, size int) answer {
 	const trailerLimit = 4 << 10
 	for {
-		if len(buffer) > size {
-			if _, progress, err := rpc.ParseResponseTrailer(buffer[size:], trailerLimit); err != nil {
+		if len(c.buffer) > size {
+			if _, progress, err := rpc.ParseResponseTrailer(c.buffer[size:], trailerLimit); err != nil {
 				return answer{kind: "unreadable"}
 			} else if progress.Consumed > 0 {
-				return answer{kind: "served", body: string(buffer[:size])}
+				body := string(c.buffer[:size])
+				c.buffer = c.buffer[size+progress.Consumed:]
+				return answer{id: id, kind: "served", body: body}
 			}
 		}
-		var err error
-		if buffer, err = c.more(buffer); err != nil {
+		if err := c.more(); err != nil {
 			return failure(err)
 		}
 	}
 }
 
-func (c *caller) more(buffer []byte) ([]byte, error) {
+func (c *caller) more() error {
 	chunk := make([]byte, 16<<10)
 	n, err := c.conn.Read(chunk)
+	c.buffer = append(c.buffer, chunk[:n]...)
 	if n > 0 {
-		return append(buffer, chunk[:n]...), nil
+		return nil
 	}
-	return buffer, err
+	return err
 }
 
 func failure(err error) answer {
--- a/review/stage/loneledger.go
+++ b/review/stage/loneledger.go
@@ -63,7 +63,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	for _, m := range members {
-		served += spend(s, m, 2*funded, 8*time.Second)
+		served += spend(s, m, 2*funded, 6*time.Second)
 	}
 	s.note("funded %d, charged %d", funded, served)
 	if served > funded {
@@ -78,19 +78,19 @@
 		"    chunk_ms = 250\n    prices {\n      part-page {\n        each = 1\n      }\n    }\n  }\n", ledger, topUps)
 }
 
-// spend asks a router for pages, one after the other, until a number of them are served or a time is over. It returns how many were
-// served.
+// spend asks a router for pages, one after the other, until a number of them are served or a time is over. A refused client stays away for
+// as long as it is told. spend returns how many pages were served.
 func spend(s *stage, m *member, pages int, limit time.Duration) (served int) {
-	answers := map[string]int{}
-	for end := time.Now().Add(limit); served < pages && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(limit); served < pages && time.Now().Before(end); {
 		nextTxn++
 		a := askOnce(m.listen, rpc.Request{Method: "part-page", Txn: nextTxn, TimeoutMillis: 2000, Item: nextTxn, Batch: 3, Account: account})
-		answers[a.kind+" "+a.reason]++
+		s.note("client of %s: page %016x for account %s: %s %s, later %v", m.name, nextTxn, account, a.kind, a.reason, a.later)
 		if a.kind == "served" {
 			served++
 		}
+		time.Sleep(max(100*time.Millisecond, a.later))
 	}
-	s.note("client of %s: answers to pages for account %s: %v", m.name, account, answers)
+	s.note("clients of %s: %d pages served", m.name, served)
 	return served
 }
 
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -45,10 +45,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	result := make(chan error, 1)
-	go func() { result <- cases[os.Args[1]](s) }()
+	result := make(chan error, 2)
+	go func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				result <- fmt.Errorf("panic: %v", cause)
+			}
+		}()
+		result <- cases[os.Args[1]](s)
+	}()
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGQUIT)
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // a reader of the output that leaves ends nothing
 	select {
 	case err = <-result:
 	case <-interrupted:
--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -61,7 +61,11 @@
 	if s.closed {
 		return errors.New("the case has ended")
 	}
-	if err := p.command.Start(); err != nil {
+	// The system ends the process if the thread that started it ends, as on SIGKILL to this program.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	result := make(chan error)
+	s.starts <- func() { result <- p.command.Start() }
+	if err := <-result; err != nil {
 		return err
 	}
 	s.routers = append(s.routers, p)
--- a/review/stage/refusedclaim.go
+++ b/review/stage/refusedclaim.go
@@ -12,7 +12,7 @@
 // refusedClaim kills the router of an order that has run, and has the client claim the order at a router that is being drained. A
 // client that is told "Throttled" may send the order again, so the claim must not be answered so.
 func refusedClaim(s *stage) error {
-	t, err := newSite(s, map[string]time.Duration{"full-score": 4500 * time.Millisecond, "new-arrange": 1900 * time.Millisecond})
+	t, err := newSite(s, map[string]time.Duration{"full-score": 900 * time.Millisecond, "new-arrange": 300 * time.Millisecond})
 	if err != nil {
 		return err
 	}
@@ -38,8 +38,7 @@
 		return err
 	}
 	defer reader.close()
-	s.note("client: a read of 5 s to r2, which the page cache answers after 4.5 s")
-	if err := reader.send(rpc.Request{Method: "full-score", Txn: 0xb1, TimeoutMillis: 5000, Item: readItem, Batch: 18}); err != nil {
+	if err := readOn(s, reader, 1); err != nil {
 		return err
 	}
 	if !s.calm() && s.trouble != "kill" {
@@ -47,7 +46,13 @@
 			return err
 		}
 	}
-	time.Sleep(900 * time.Millisecond)
+	for i := range 4 { // the client goes on reading, one request after the other has begun
+		time.Sleep(450 * time.Millisecond)
+		if err := readOn(s, reader, uint64(i)+2); err != nil {
+			return err
+		}
+	}
+	time.Sleep(400 * time.Millisecond)
 	begun := time.Now()
 	first := make(chan answer, 1)
 	go func() { first <- askOnce(members[0].listen, orderRequest(orderTxn, 0, orderTime)) }()
@@ -56,7 +61,7 @@
 		return err
 	}
 	if !s.calm() {
-		time.Sleep(1500*time.Millisecond - time.Since(begun))
+		time.Sleep(100 * time.Millisecond)
 		s.note("r1 is killed")
 		routers[0].kill()
 	}
@@ -65,10 +70,12 @@
 	if a.kind == "lost" {
 		left := orderTime - time.Since(begun)
 		s.note("client: claims the order over its open connection to r2, with %v left", left.Round(time.Millisecond))
-		a = reader.ask(orderRequest(0xa2, orderTxn, left))
+		if a = reader.claim(s, orderRequest(0xa2, orderTxn, left)); a.kind == "lost" {
+			return errors.New("r2 has closed the connection")
+		}
 		s.note("client: answer of r2 to the claim: %s %s", a.kind, a.body)
 	}
-	return resendIfRefused(t, members[2], a, orderTime-time.Since(begun))
+	return resendIfRefused(t, members[2], a, begun)
 }
 
 // standby drains a router at an operator's request.
@@ -87,14 +94,17 @@
 }
 
 // resendIfRefused sends the order again, as a client may that was told "Throttled", and checks that the order did not run before.
-func resendIfRefused(t *site, m *member, a answer, left time.Duration) error {
+func resendIfRefused(t *site, m *member, a answer, begun time.Time) error {
 	if a.kind != rpc.CodeThrottled {
 		return checkRanOnce(t)
 	}
 	if t.runsOf(orderTxn) == 0 {
 		return nil
 	}
-	t.stage.note("client: sends the order again, as it was refused, to %s with %v left", m.name, left.Round(time.Millisecond))
+	time.Sleep(a.later)
+	left := orderTime - time.Since(begun)
+	t.stage.note("client: stayed away for %v; sends the order again, as it was refused, to %s with %v left", a.later, m.name,
+		left.Round(time.Millisecond))
 	again := orderRequest(0xa3, 0, left)
 	again.Retry = true
 	a = askOnce(m.listen, again)
@@ -102,3 +112,23 @@
 	return fmt.Errorf("%w: the client was told that its order never ran, and it had run; sent again, it ran %d more times",
 		errBroken, t.runsOf(0xa3))
 }
+
+// readOn sends a read whose answer is read later.
+func readOn(s *stage, c *caller, number uint64) error {
+	s.note("client: read %d to r2, over the same connection", number)
+	return c.send(rpc.Request{Method: "full-score", Txn: 0xb0 + number, TimeoutMillis: 5000, Item: readItem, Nth: number, Batch: 18})
+}
+
+// claim sends a claim, and reads answers until that of the claim has come.
+func (c *caller) claim(s *stage, request rpc.Request) answer {
+	if c.send(request) != nil {
+		return answer{kind: "lost"}
+	}
+	for {
+		a := c.read()
+		if a.id == c.nextID || a.id == 0 {
+			return a
+		}
+		s.note("client: answer of r2 to read %d: %s", a.id, a.kind)
+	}
+}
--- a/review/stage/replacedreplica.go
+++ b/review/stage/replacedreplica.go
@@ -28,10 +28,13 @@
 // replacedReplica replaces the router that keeps the records of another router's orders while an order is out, and kills
 // the order's router after that. The order must not run twice.
 func replacedReplica(s *stage) error {
-	t, err := newSite(s, map[string]time.Duration{"full-score": 3200 * time.Millisecond, "new-arrange": 1500 * time.Millisecond})
+	t, err := newSite(s, nil)
 	if err != nil {
 		return err
 	}
+	if err := t.addCaches(3); err != nil {
+		return err
+	}
 	members, err := newMembers("rack-1", "rack-1", "rack-2") // so r3 keeps the orders of r1
 	if err != nil {
 		return err
@@ -63,14 +66,21 @@
 		return fmt.Errorf("an order is not served before the disruption: %s", warm.kind)
 	}
 
+	read := rpc.Request{Method: "full-score", Txn: 0xb0, TimeoutMillis: 5000, Item: readItem, Batch: 18}
+	if a := askOnce(members[2].listen, read); a.kind != "served" {
+		return fmt.Errorf("a read is not served before the disruption: %s", a.kind)
+	}
+	if !s.calm() {
+		t.hang(0xf1, 0xb0)
+	}
 	readDone := make(chan answer, 1)
 	go func() {
-		request := rpc.Request{Method: "full-score", Txn: 0xb1, TimeoutMillis: 5000, Item: readItem, Batch: 18}
-		a := askOnce(members[2].listen, request)
-		s.note("client of r3: a read of 5 s, which the page cache answers after 3.2 s: %s", a.kind)
+		read.Txn = 0xb1
+		a := askOnce(members[2].listen, read)
+		s.note("client of r3: the read of 5 s: %s", a.kind)
 		readDone <- a
 	}()
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	if !s.calm() && s.trouble != "kill" {
 		if err := replaceRouter(t, members, routers[2], socket); err != nil {
 			return err
@@ -140,7 +150,7 @@
 		return err
 	}
 	if !s.calm() {
-		time.Sleep(1300*time.Millisecond - time.Since(begun))
+		time.Sleep(1600*time.Millisecond - time.Since(begun))
 		s.note("%s is killed", routers[0].label)
 		routers[0].kill()
 	}
--- a/review/stage/sharedbudget.go
+++ b/review/stage/sharedbudget.go
@@ -18,6 +18,9 @@
 	repeatBurst = 4.0
 )
 
+// pageTime is how long the page cache takes for a page.
+const pageTime = 40 * time.Millisecond
+
 // sharedBudget replaces a router whose process stands still as the new one asks for it. All processes together must not send more
 // repeats than the shared budget allows.
 func sharedBudget(s *stage) error {
@@ -25,7 +28,10 @@
 	if err != nil {
 		return err
 	}
-	repeats := &repeatCounter{seen: map[string]int{}}
+	if err := t.addCaches(7); err != nil {
+		return err
+	}
+	repeats := &repeatCounter{stage: s, seen: map[string]int{}}
 	t.script = repeats.answer
 	members, err := newMembers("", "")
 	if err != nil {
@@ -52,26 +58,16 @@
 	time.Sleep(5 * time.Second)
 
 	load := newLoad()
-	load.add(members[0].listen, 6)
-	load.add(members[1].listen, 6)
+	load.add(members[0].listen, 60)
+	load.add(members[1].listen, 60)
 	time.Sleep(6 * time.Second)
-	reader, err := dial(members[1].listen)
-	if err != nil {
-		return err
-	}
-	defer reader.close()
-	s.note("client: a read of 5 s to r2, which the page cache answers after 4 s")
-	if err := reader.send(rpc.Request{Method: "full-score", Txn: 0xb1, TimeoutMillis: 5000, Item: readItem, Batch: 18}); err != nil {
-		return err
-	}
-	time.Sleep(50 * time.Millisecond)
 	if !s.calm() {
 		if err := replaceStopped(t, members, old, socket); err != nil {
 			return err
 		}
 	}
-	for range 12 { // clients that come now reach either process of r2
-		load.add(members[1].listen, 2)
+	for range 15 { // clients that come now reach either process of r2
+		load.add(members[1].listen, 4)
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(5 * time.Second)
@@ -108,8 +104,9 @@
 	return nil
 }
 
-// repeatCounter is the page caches: every third request fails and may have run. It counts the attempts that repeat such a request.
+// repeatCounter is the page caches: every fifth request fails and may have run. It counts the attempts that repeat such a request.
 type repeatCounter struct {
+	stage    *stage
 	mu       sync.Mutex
 	requests int
 	seen     map[string]int
@@ -119,17 +116,14 @@
 func (c *repeatCounter) answer(request fakes.Request) fakes.Reply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if request.Fields["kind"] == "full-score" {
-		return fakes.Reply{Status: "DONE", Body: []byte("score"), Delay: 4 * time.Second,
-			Fields: fmt.Sprintf("res=fetched_root,version=a,stamp=%d", time.Now().UnixMilli())}
-	}
 	c.seen[request.ID]++
 	if c.seen[request.ID] > 1 {
 		c.repeats = append(c.repeats, time.Now())
-	} else if c.requests++; c.requests%3 == 0 {
-		return fakes.Reply{Status: "BROKE"}
+		c.stage.note("page cache gets %s again: repeat %d", request.ID, len(c.repeats))
+	} else if c.requests++; c.requests%5 == 0 {
+		return fakes.Reply{Status: "BROKE", Delay: pageTime}
 	}
-	return fakes.Reply{Status: "DONE", Body: []byte("page"),
+	return fakes.Reply{Status: "DONE", Body: []byte("page"), Delay: pageTime,
 		Fields: fmt.Sprintf("res=cached,version=%s,stamp=%d", request.Fields["obj"], time.Now().UnixMilli())}
 }
 
@@ -161,7 +155,7 @@
 	return nil
 }
 
-// load is clients that ask for pages without a pause between an answer and the next request but a short one.
+// load is clients that ask for pages, one after the other with a short pause. A refused client stays away for as long as it is told.
 type load struct {
 	stop    chan struct{}
 	clients sync.WaitGroup
@@ -213,7 +207,7 @@
 		if a.kind == "lost" || a.kind == "none" || a.kind == "unreadable" {
 			return
 		}
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(max(15*time.Millisecond, a.later))
 	}
 }
 
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -30,13 +30,15 @@
 type site struct {
 	stage     *stage
 	discovery *fakes.Discovery
-	origin    string // address of the origin
-	known     string // events of the start
-	keys      string // path of the file with the keys of the fleet
+	origin    string   // address of the origin
+	caches    []string // addresses of the page caches
+	keys      string   // path of the file with the keys of the fleet
 
-	mu   sync.Mutex
-	runs map[string]int // by txn: how often the page cache ran an order
-	work map[string]time.Duration
+	mu      sync.Mutex
+	runs    map[string]int    // by txn: how often page caches ran a request
+	ranAt   map[string]string // by txn: the page cache that ran it last
+	hanging map[string]bool   // page caches that hang
+	work    map[string]time.Duration
 
 	script func(fakes.Request) fakes.Reply // answers instead, if it is set
 }
@@ -44,15 +46,15 @@
 // newSite starts the discovery service and a page cache. work says by class how long the page cache takes to answer; it
 // runs an order as soon as the order has come.
 func newSite(s *stage, work map[string]time.Duration) (*site, error) {
-	t := &site{stage: s, keys: filepath.Join(s.dir, "keys"), runs: map[string]int{}, work: work}
+	t := &site{stage: s, keys: filepath.Join(s.dir, "keys"), runs: map[string]int{}, ranAt: map[string]string{},
+		hanging: map[string]bool{}, work: work}
 	if err := os.WriteFile(t.keys, []byte(strings.Repeat("5c", 32)+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	cache, err := fakes.NewCache("127.0.0.1:0", t.answer)
-	if err != nil {
+	if err := t.addCaches(1); err != nil {
 		return nil, err
 	}
-	origin, err := fakes.NewCache("127.0.0.1:0", t.answer)
+	origin, err := fakes.NewCache("127.0.0.1:0", t.answerAt("the origin"))
 	if err != nil {
 		return nil, err
 	}
@@ -60,33 +62,66 @@
 		return nil, err
 	}
 	t.origin = origin.Addr()
-	t.list(cache.Addr())
 	return t, nil
 }
 
-// list has the configuration list a page cache, beside the origin.
-func (t *site) list(cacheAddress string) {
-	entry := `{"instanceId":%q,"hostPort":%q,"zone":%q,"machineType":%q,"cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`
-	t.known = fmt.Sprintf(`{"pos":1,"entries":[{"pos":1,"hosts":{"generation":1,"reset":true,"instances":[%s,%s]}}]}`,
-		fmt.Sprintf(entry, "s-1", cacheAddress, "edge-1", "small"), fmt.Sprintf(entry, "s-2", t.origin, "upper", "origin"))
+// addCaches starts further page caches. It is called before the routers are started.
+func (t *site) addCaches(count int) error {
+	for range count {
+		cache, err := fakes.NewCache("127.0.0.1:0", t.answerAt(fmt.Sprintf("page cache s-%d", len(t.caches)+1)))
+		if err != nil {
+			return err
+		}
+		t.caches = append(t.caches, cache.Addr())
+	}
+	return nil
 }
 
-// answer runs a request, notes it and answers it after the time that its class takes.
-func (t *site) answer(request fakes.Request) fakes.Reply {
-	if t.script != nil {
-		return t.script(request)
+// known returns the events of the start, which list the page caches and the origin.
+func (t *site) known() string {
+	const entry = `{"instanceId":%q,"hostPort":%q,"zone":%q,"machineType":%q,"cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`
+	instances := []string{fmt.Sprintf(entry, "s-0", t.origin, "upper", "origin")}
+	for i, address := range t.caches {
+		instances = append(instances, fmt.Sprintf(entry, fmt.Sprintf("s-%d", i+1), address, "edge-1", "small"))
 	}
-	kind := request.Fields["kind"]
+	return fmt.Sprintf(`{"pos":1,"entries":[{"pos":1,"hosts":{"generation":1,"reset":true,"instances":[%s]}}]}`,
+		strings.Join(instances, ","))
+}
+
+// hang has the page caches that have run the given requests hang from now on: they begin to run what they get, and answer nothing.
+func (t *site) hang(txns ...uint64) {
 	t.mu.Lock()
-	t.runs[request.ID]++
-	runs := t.runs[request.ID]
-	t.mu.Unlock()
-	t.stage.note("page cache runs %s %s of object %s, for the %d. time", kind, request.ID, request.Fields["obj"], runs)
-	return fakes.Reply{
-		Status: "DONE",
-		Fields: fmt.Sprintf("res=fetched_root,version=%s,stamp=%d", request.Fields["obj"], time.Now().UnixMilli()),
-		Body:   []byte("done " + request.ID),
-		Delay:  t.work[kind],
+	defer t.mu.Unlock()
+	for _, txn := range txns {
+		t.hanging[t.ranAt[fmt.Sprintf("%016x", txn)]] = true
+	}
+	for name := range t.hanging {
+		t.stage.note("%s hangs, of %d", name, len(t.caches))
+	}
+}
+
+// answerAt returns what a page cache does with a request: it runs it, notes it and answers after the time that its class takes.
+func (t *site) answerAt(name string) func(fakes.Request) fakes.Reply {
+	return func(request fakes.Request) fakes.Reply {
+		if t.script != nil {
+			return t.script(request)
+		}
+		kind := request.Fields["kind"]
+		t.mu.Lock()
+		t.runs[request.ID]++
+		t.ranAt[request.ID] = name
+		runs, hangs := t.runs[request.ID], t.hanging[name]
+		t.mu.Unlock()
+		t.stage.note("%s runs %s %s of object %s, for the %d. time", name, kind, request.ID, request.Fields["obj"], runs)
+		if hangs {
+			return fakes.Reply{}
+		}
+		return fakes.Reply{
+			Status: "DONE",
+			Fields: fmt.Sprintf("res=fetched_root,version=%s,stamp=%d", request.Fields["obj"], time.Now().UnixMilli()),
+			Body:   []byte("done " + request.ID),
+			Delay:  t.work[kind],
+		}
 	}
 }
 
@@ -147,7 +182,7 @@
 func (t *site) config(name, listen, journalAddress string) string {
 	return fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
 "journal":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":1240000,"known":%s,"settings":%s}`,
-		name, listen, journalAddress, t.known, settingsText)
+		name, listen, journalAddress, t.known(), settingsText)
 }
 
 const clusterProgram = "bin/hillknot-cluster"
--- a/review/stage/slowdiscovery.go
+++ b/review/stage/slowdiscovery.go
@@ -77,6 +77,7 @@
 // cachedCopy is a page cache with a copy of one object. It fills anew if the copy is older than the request allows, or once it has dropped the
 // copy by itself after a purge.
 type cachedCopy struct {
+	stage   *stage
 	mu      sync.Mutex
 	stamp   time.Time
 	dropAt  time.Time // zero: never
@@ -94,6 +95,7 @@
 	if tooOld || dropped || c.stamp.IsZero() {
 		c.stamp, result = now, "fetched_root"
 	}
+	c.stage.note("page cache runs %s, newer=%q: %s, copy of %d", request.ID, request.Fields["newer"], result, c.stamp.UnixMilli())
 	return fakes.Reply{Status: "DONE", Body: []byte(strconv.FormatInt(c.stamp.UnixMilli(), 10)),
 		Fields: fmt.Sprintf("res=%s,version=a,stamp=%d", result, c.stamp.UnixMilli())}
 }
@@ -111,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	var held cachedCopy
+	held := cachedCopy{stage: s}
 	t.script = held.answer
 	slow := &journal{delay: journalDelay}
 	if s.calm() {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	started time.Time
 	routers []*process
 	closed  bool // no process is started any more
+
+	starts chan func() // run by one thread, which lasts as long as this program
 }
 
 func newStage(recordPath string) (*stage, error) {
@@ -26,11 +29,19 @@
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
+	s := &stage{trouble: os.Getenv("TROUBLE"), record: record, started: time.Now(), starts: make(chan func())}
+	s.note("TROUBLE=%q", s.trouble)
+	if s.dir, err = os.MkdirTemp("", "review"); err != nil {
+		s.note("exit status 2: %v", err)
 		return nil, err
 	}
-	return &stage{dir: dir, trouble: os.Getenv("TROUBLE"), record: record, started: time.Now()}, nil
+	go func() {
+		runtime.LockOSThread()
+		for start := range s.starts {
+			start()
+		}
+	}()
+	return s, nil
 }
 
 // calm reports whether the disruption is left out.
