--- a/review/stage/loneledger.go
+++ b/review/stage/loneledger.go
@@ -31,16 +31,11 @@
 	if err := os.WriteFile(topUps, []byte(lines), 0o600); err != nil {
 		return err
 	}
-	var routers []*process
 	for _, m := range members {
 		m.extra = creditBlock(filepath.Join(s.dir, m.name+".ledger"), topUps)
-		p, err := t.startMember(m, m.name, members, nil)
-		if err != nil {
-			return err
-		}
-		routers = append(routers, p)
 	}
-	if err := awaitReady(members); err != nil {
+	routers, err := t.startMembers(members, nil, nil)
+	if err != nil {
 		return err
 	}
 	time.Sleep(4 * time.Second)                       // the routers find each other
--- a/review/stage/refusedclaim.go
+++ b/review/stage/refusedclaim.go
@@ -20,15 +20,8 @@
 	if err != nil {
 		return err
 	}
-	var routers []*process
-	for _, m := range members {
-		p, err := t.startMember(m, m.name, members, nil)
-		if err != nil {
-			return err
-		}
-		routers = append(routers, p)
-	}
-	if err := awaitReady(members); err != nil {
+	routers, err := t.startMembers(members, nil, nil)
+	if err != nil {
 		return err
 	}
 	time.Sleep(6 * time.Second)
@@ -38,21 +31,9 @@
 		return err
 	}
 	defer reader.close()
-	if err := readOn(s, reader, 1); err != nil {
+	if err := readWhileDrained(s, reader, members[1]); err != nil {
 		return err
 	}
-	if !s.calm() && s.trouble != "kill" {
-		if err := standby(s, members[1]); err != nil {
-			return err
-		}
-	}
-	for i := range 4 { // the client goes on reading, one request after the other has begun
-		time.Sleep(450 * time.Millisecond)
-		if err := readOn(s, reader, uint64(i)+2); err != nil {
-			return err
-		}
-	}
-	time.Sleep(400 * time.Millisecond)
 	begun := time.Now()
 	first := make(chan answer, 1)
 	go func() { first <- askOnce(members[0].listen, orderRequest(orderTxn, 0, orderTime)) }()
@@ -78,6 +59,26 @@
 	return resendIfRefused(t, members[2], a, begun)
 }
 
+// readWhileDrained sends reads to a router, each before the one before is answered, and drains the router after the first, for 2.2 s.
+func readWhileDrained(s *stage, reader *caller, m *member) error {
+	if err := readOn(s, reader, 1); err != nil {
+		return err
+	}
+	if !s.calm() && s.trouble != "kill" {
+		if err := standby(s, m); err != nil {
+			return err
+		}
+	}
+	for number := range uint64(4) {
+		time.Sleep(450 * time.Millisecond)
+		if err := readOn(s, reader, number+2); err != nil {
+			return err
+		}
+	}
+	time.Sleep(400 * time.Millisecond)
+	return nil
+}
+
 // standby drains a router at an operator's request.
 func standby(s *stage, m *member) error {
 	client := http.Client{Timeout: time.Second}
--- a/review/stage/replacedreplica.go
+++ b/review/stage/replacedreplica.go
@@ -44,19 +44,8 @@
 		return err
 	}
 	defer socket.Close()
-	var routers []*process
-	for i, m := range members {
-		var inherited *os.File
-		if i == 2 {
-			inherited = socket
-		}
-		p, err := t.startMember(m, m.name, members, inherited)
-		if err != nil {
-			return err
-		}
-		routers = append(routers, p)
-	}
-	if err := awaitReady(members); err != nil {
+	routers, err := t.startMembers(members, members[2], socket)
+	if err != nil {
 		return err
 	}
 	time.Sleep(8 * time.Second) // the routers find each other, and have been up for longer than the longest request
--- a/review/stage/sharedbudget.go
+++ b/review/stage/sharedbudget.go
@@ -45,16 +45,10 @@
 	for _, m := range members {
 		m.extra = fmt.Sprintf("  retries {\n    rate  = %v\n    burst = %v\n  }\n", repeatRate, repeatBurst)
 	}
-	if _, err := t.startMember(members[0], "r1", members, nil); err != nil {
-		return err
-	}
-	old, err := t.startMember(members[1], "r2", members, socket)
+	routers, err := t.startMembers(members, members[1], socket)
 	if err != nil {
 		return err
 	}
-	if err := awaitReady(members); err != nil {
-		return err
-	}
 	time.Sleep(5 * time.Second)
 
 	load := newLoad()
@@ -62,7 +56,7 @@
 	load.add(members[1].listen, 60)
 	time.Sleep(6 * time.Second)
 	if !s.calm() {
-		if err := replaceStopped(t, members, old, socket); err != nil {
+		if err := replaceStopped(t, members, routers[1], socket); err != nil {
 			return err
 		}
 	}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -195,3 +195,20 @@
 	}
 	return t.stage.start(label, clusterProgram, args, nil, socket)
 }
+
+// startMembers starts a process of each router, and waits until all take clients. The router replaceable, which may be nil, inherits its
+// socket.
+func (t *site) startMembers(all []*member, replaceable *member, socket *os.File) (routers []*process, err error) {
+	for _, m := range all {
+		inherited := socket
+		if m != replaceable {
+			inherited = nil
+		}
+		p, err := t.startMember(m, m.name, all, inherited)
+		if err != nil {
+			return nil, err
+		}
+		routers = append(routers, p)
+	}
+	return routers, awaitReady(all)
+}
