Review: each case has a loopback address of its own for its routers

Beside nine other cases, a port that was probed was taken by a connection of another case before the router had it: exit status 2 in one of 50 runs.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -88,26 +88,24 @@
 	}
 }
 
-// taken holds the addresses that freeAddress has returned.
-var taken = map[string]bool{}
+// lastPort is the latest port that freeAddress has tried. Systems give outgoing connections higher ones.
+var lastPort = 10000
 
-// freeAddress returns a loopback address with a port that is free for TCP and UDP, each address once.
+// freeAddress returns a loopback address with a port that is free for TCP and UDP, each once. The address depends on the number of this
+// process, so that no two cases, and no connection of another one, take the port before it is used.
 func freeAddress() (string, error) {
+	pid := os.Getpid()
 	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		lastPort++
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, max(pid&255, 1), lastPort)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
-		if err != nil {
-			continue
-		}
-		_ = packets.Close()
-		if !taken[address] {
-			taken[address] = true
-			return address, nil
+		if err == nil {
+			return address, packets.Close()
 		}
 	}
 	return "", fmt.Errorf("no free port")
