Tests of discovery: the service reads a request before it answers it

TestChangesAreDatedSinceLatestCompleteRead hung in 1 run beside other tests, for 10 minutes: its service sent the header as soon as a connection was accepted, and netio.Dial refuses a peer that sends before it is asked (ErrUnsolicitedInput). The listener is closed by then, so the watcher never comes back and the test waits for ever. No check is changed; the service does now what any HTTP service does.

--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"testing"
@@ -74,7 +75,7 @@
 	return ln
 }
 
-// acceptWatch accepts the connection of the watcher.
+// acceptWatch accepts the connection of the watcher and reads its request. A service that sends before it is asked is refused.
 func acceptWatch(t *testing.T, ln net.Listener) net.Conn {
 	t.Helper()
 	conn, err := ln.Accept()
@@ -82,9 +83,23 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
+	if err := readRequest(conn); err != nil {
+		t.Fatal(err)
+	}
 	return conn
 }
 
+// readRequest reads a request up to the empty line that ends it.
+func readRequest(conn net.Conn) error {
+	var request []byte
+	for next := make([]byte, 1); !bytes.HasSuffix(request, []byte("\r\n\r\n")); request = append(request, next...) {
+		if _, err := conn.Read(next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func send(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(conn, text); err != nil {
