discovery: leave calls open that are not answered yet, and call again beside them

The router never heard of a purge that it held: 29 of 49 answers that had to be newer came from the purged copy.

Cause: the 2 s after which a silent stream is given up also bounded the wait for the answer to a call, and each new call began that wait anew; connectTimeoutUs did the same to connections that come up late. A longer time-out alone would notice a lost call later.

Change: discovery.callSet begins the next call as soon as before and leaves the earlier ones open; the first that is answered, by a line of the stream, is followed and the others end. Why it works: waiting for one call no longer depends on how soon the next begins.

--- a/cmd/hillknot/harness_discovery_test.go
+++ b/cmd/hillknot/harness_discovery_test.go
@@ -78,17 +78,28 @@
 // sendEndpoints sends an event with entries of the endpoint list: all entries if complete is true, and otherwise those that
 // change.
 func (w watchStream) sendEndpoints(position int, complete bool, hosts ...jsonMap) {
+	w.t.Helper()
+	w.write(w.endpointsEvent(position, complete, hosts...))
+}
+
+// endpointsEvent returns the text of the event that sendEndpoints sends.
+func (w watchStream) endpointsEvent(position int, complete bool, hosts ...jsonMap) string {
 	w.t.Helper()
 	text, err := json.Marshal(jsonMap{"pos": position, "hosts": jsonMap{"reset": complete, "instances": hosts}})
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.write(fmt.Sprintf("id: %d\ndata: %s\n\n", position, text))
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", position, text)
 }
 
 // sendPurge sends an event that purges an object. stamp is the time of the purge by the clock of the discovery service.
 func (w watchStream) sendPurge(position, object int, stamp time.Time) {
 	w.t.Helper()
-	w.write(fmt.Sprintf("id: %d\ndata: {\"pos\":%d,\"expire\":{\"name\":\"%016x\",\"stamp\":%d}}\n\n",
-		position, position, object, stamp.UnixMilli()))
+	w.write(purgeEvent(position, object, stamp))
+}
+
+// purgeEvent returns the text of the event that sendPurge sends.
+func purgeEvent(position, object int, stamp time.Time) string {
+	return fmt.Sprintf("id: %d\ndata: {\"pos\":%d,\"expire\":{\"name\":\"%016x\",\"stamp\":%d}}\n\n",
+		position, position, object, stamp.UnixMilli())
 }
--- a/cmd/hillknot/harness_process_test.go
+++ b/cmd/hillknot/harness_process_test.go
@@ -19,8 +19,17 @@
 	ended bool // the test has waited for the end of the process
 }
 
-// startProcess starts the router in its own process, and ends the process with the test.
-func (r *testRouter) startProcess() *routerProcess {
+// startProcess starts the router in its own process, and ends the process with the test. environment is added to that of the test.
+func (r *testRouter) startProcess(environment ...string) *routerProcess {
+	r.t.Helper()
+	p := r.launchProcess(environment...)
+	r.processes = append(r.processes, p)
+	r.waitUntilReady()
+	return p
+}
+
+// launchProcess is startProcess without the wait until the process serves.
+func (r *testRouter) launchProcess(environment ...string) *routerProcess {
 	r.t.Helper()
 	r.configPath = filepath.Join(r.t.TempDir(), "config.json")
 	r.writeConfig()
@@ -31,6 +40,7 @@
 	defer socket.Close()
 	cmd := exec.Command(program(r.t))
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.configPath, "RELAY_SOCKET_FD=3")
+	cmd.Env = append(cmd.Env, environment...)
 	cmd.ExtraFiles = []*os.File{socket}
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
@@ -38,7 +48,6 @@
 	}
 	p := &routerProcess{t: r.t, cmd: cmd}
 	r.t.Cleanup(p.end)
-	r.waitUntilReady()
 	return p
 }
 
--- a/cmd/hillknot/harness_run_test.go
+++ b/cmd/hillknot/harness_run_test.go
@@ -127,13 +127,19 @@
 // useShortTempDir makes routers open the sockets for their successors in a directory of the test's own. The path of t.TempDir
 // contains the name of the test, and can be longer than the path of a socket may be (107 bytes).
 func useShortTempDir(t *testing.T) {
+	t.Helper()
+	t.Setenv("TMPDIR", shortTempDir(t))
+}
+
+// shortTempDir returns a directory for the sockets of routers, which is removed at the end of the test; see useShortTempDir.
+func shortTempDir(t *testing.T) string {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "hillknot")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	t.Setenv("TMPDIR", dir)
+	return dir
 }
 
 // writeFile writes a file with permissions for the test's user only.
--- a/cmd/hillknot/harness_test.go
+++ b/cmd/hillknot/harness_test.go
@@ -37,6 +37,7 @@
 	discovery    net.Listener
 	watches      chan watchStream // watches that the router has opened
 	messages     chan endpointMessage
+	processes    []*routerProcess // those that serve or have served, the latest last
 }
 
 // newTestRouter returns a router with a number of endpoints. The router is not started yet.
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -55,6 +55,8 @@
 
 		DiscoveryLineBytes:    1 * mB,
 		DiscoverySilence:      2 * time.Second,
+		DiscoveryCalls:        6,
+		DiscoveryCallTimeout:  30 * time.Second,
 		DiscoveryReadInterval: 25 * ms,
 		DiscoveryBackoffMin:   25 * ms,
 		DiscoveryBackoffMax:   200 * ms,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -35,7 +35,9 @@
 
 	// Discovery.
 	DiscoveryLineBytes    int           // of one line of the event stream
-	DiscoverySilence      time.Duration // a connection that receives nothing for this long is taken for broken
+	DiscoverySilence      time.Duration // a stream that receives nothing for this long is taken for broken
+	DiscoveryCalls        int           // calls that are open while none is answered; at least 2
+	DiscoveryCallTimeout  time.Duration // a call that is not answered for this long is given up
 	DiscoveryReadInterval time.Duration // minimum between two reads of a long burst
 	DiscoveryBackoffMin   time.Duration // pause before the next connection, after one that received something
 	DiscoveryBackoffMax   time.Duration // the same pause after many connections that received nothing
--- a/internal/discovery/delivery_test.go
+++ b/internal/discovery/delivery_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &connection{watcher: w}
+	c := &call{watcher: w}
 	deliver := func(position int) error {
 		return c.receive([]byte(fmt.Sprint(position)), fmt.Appendf(nil, `{"pos":%d,"expire":{"set":1,"stamp":5}}`, position))
 	}
--- a/internal/discovery/eventstream.go
+++ b/internal/discovery/eventstream.go
@@ -11,6 +11,7 @@
 	data    []byte                      // of the current event
 	hasData bool                        // the current event has a data line, which may be empty
 	started bool                        // the current event has begun, and is not complete yet
+	hasLine bool                        // at least one line was complete
 }
 
 // maxRetainedBuffer is the largest capacity, in bytes, of a buffer that is used again. A buffer that grew for the complete
@@ -36,6 +37,7 @@
 			s.partial = append(s.partial, line...)
 			line = s.partial
 		}
+		s.hasLine = true
 		if err := s.parseLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
 			return err
 		}
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -20,12 +20,14 @@
 // testLimits returns the limits of a watcher that connects again after the duration retry.
 func testLimits(retry time.Duration) config.Limits {
 	return config.Limits{
-		ConnectTimeout:      10 * time.Second,
-		DiscoveryLineBytes:  1 << 16,
-		DiscoverySilence:    time.Minute,
-		DiscoveryBackoffMin: retry,
-		DiscoveryBackoffMax: retry,
-		Discovery:           config.ConnLimits{MaxPendingBytes: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: time.Minute},
+		ConnectTimeout:       10 * time.Second,
+		DiscoveryLineBytes:   1 << 16,
+		DiscoverySilence:     time.Minute,
+		DiscoveryCalls:       3,
+		DiscoveryCallTimeout: time.Minute,
+		DiscoveryBackoffMin:  retry,
+		DiscoveryBackoffMax:  retry,
+		Discovery:            config.ConnLimits{MaxPendingBytes: 1 << 16, ReadTimeout: time.Minute, WriteTimeout: time.Minute},
 	}
 }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,13 +2,11 @@
 // service publishes the list of endpoints (page caches) and the purges of objects as a log of events with positions, over
 // server-sent events.
 //
-// A Watcher keeps one connection open. When the connection ends or falls silent, the Watcher connects again and resumes
-// after the latest delivered event. It delivers each event once and in order to an EventHandler.
+// A Watcher follows the stream of one call to the service. When the stream ends or falls silent, the Watcher calls again and
+// resumes after the latest delivered event. It delivers each event once and in order to an EventHandler.
 package discovery
 
 import (
-	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -36,11 +34,12 @@
 type Watcher struct {
 	limits config.Limits
 	queue  eventQueue
+	dial   dialFunc
 
 	mu       sync.Mutex
 	target   target
 	delivery deliveryState
-	current  *connection // the open connection; nil: none
+	stream   *call // the call whose stream is followed; nil: no call is answered
 	// caughtUpAt is the latest moment, as a reading of package clock, at which everything that the service had sent was
 	// read. Events that are read later were published later.
 	caughtUpAt time.Duration
@@ -61,6 +60,7 @@
 	}
 	w := &Watcher{
 		limits:   limits,
+		dial:     netio.DialContext,
 		queue:    eventQueue{handler: handler, pacer: pacer{interval: limits.DiscoveryReadInterval}},
 		target:   target{address: address, changed: make(chan struct{})},
 		delivery: deliveryState{advanced: make(chan struct{})},
@@ -116,124 +116,50 @@
 }
 
 // HasBacklog reports whether the service has published, or may have published, events that are not delivered yet. They are
-// possible while there is no connection, and until the first bytes on a connection are read.
+// possible while no call is answered, and until what the service sent over an answered one is read.
 func (w *Watcher) HasBacklog() bool {
 	w.mu.Lock()
-	c := w.current
-	caughtUp := c != nil && c.caughtUp
+	stream := w.stream
+	caughtUp := stream != nil && stream.caughtUp
 	w.mu.Unlock()
-	return !caughtUp || c.conn.HasUnreadInput() || w.queue.isWaiting()
+	return !caughtUp || stream.hasUnreadInput() || w.queue.isWaiting()
 }
 
-// Run watches until stop is closed, and returns after its connection is closed. It may be called once. It connects again
-// at once if the address has changed, after limits.DiscoveryBackoffMin if the connection received something, and
-// otherwise after a backoff that doubles up to limits.DiscoveryBackoffMax.
+// Run watches until stop is closed, and returns after its calls have ended. It may be called once. If the address changes, it calls
+// the new one at once; see callSet for the calls to one address.
 func (w *Watcher) Run(stop <-chan struct{}) {
-	retry := newBackoff(w.limits.DiscoveryBackoffMin, w.limits.DiscoveryBackoffMax)
 	for {
-		service, position := w.resumePoint()
-		begun := clock.Now()
-		received, err := w.watch(service, position, stop)
-		if err != nil {
-			_, reached := w.resumePoint()
-			log.Warn("discovery connection lost", logging.KeyAddress, service.address, logging.KeyPosition, position,
-				"reached_position", reached, logging.KeyDuration, clock.Now()-begun, logging.KeyError, err)
-		}
-		wait := retry.next()
-		if received {
-			wait = retry.reset()
-		}
+		w.newCallSet(w.currentTarget()).run(stop)
 		select {
 		case <-stop:
 			return
-		case <-service.changed:
-			retry.reset()
-		case <-time.After(wait):
-		}
-		if !w.awaitApplied(stop) {
-			return
+		default:
 		}
 	}
 }
 
-// awaitApplied waits until the handler has applied most of the events that were delivered. It returns false if stop is closed.
-func (w *Watcher) awaitApplied(stop <-chan struct{}) bool {
-	for !w.queue.mayResume() {
-		select {
-		case <-stop:
-			return false
-		case <-time.After(w.limits.DiscoveryBackoffMin):
-		}
-	}
-	return true
-}
-
-// resumePoint returns the address to connect to, and the position of the latest delivered event.
-func (w *Watcher) resumePoint() (target, int64) {
+// currentTarget returns the address to call.
+func (w *Watcher) currentTarget() target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.target, w.delivery.last
+	return w.target
 }
 
-// setCurrent records the open connection; nil: there is none.
-func (w *Watcher) setCurrent(c *connection) {
+// setStream records the call whose stream is followed; nil: none.
+func (w *Watcher) setStream(c *call) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.current = c
+	w.stream = c
 }
 
-// noteCaughtUp records that everything that the service had sent over a connection was read at a given time.
-func (w *Watcher) noteCaughtUp(c *connection, at time.Duration) {
+// noteCaughtUp records that everything that the service had sent over the connection of a call was read at a given time.
+func (w *Watcher) noteCaughtUp(c *call, at time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.caughtUpAt = max(w.caughtUpAt, at)
 	c.caughtUp = true
 }
 
-// errSilent says that the service sent nothing for limits.DiscoverySilence.
-var errSilent = errors.New("discovery service is silent")
-
-// silenceError returns the error of a connection on which nothing was received for a time. It says whether bytes of the
-// service wait to be read, which would be a fault of this process and not of the service.
-func (c *connection) silenceError(silence time.Duration) error {
-	if c.conn.HasUnreadInput() {
-		return fmt.Errorf("%w: received nothing for %v, but unread bytes wait", errSilent, silence)
-	}
-	return fmt.Errorf("%w: received nothing for %v", errSilent, silence)
-}
-
-// watch receives events over one connection until the connection ends or falls silent, the address changes, or stop is
-// closed. It reports whether any bytes were received. The error is nil if the address changed or stop was closed.
-func (w *Watcher) watch(service target, position int64, stop <-chan struct{}) (received bool, err error) {
-	c, err := w.connect(service.address)
-	if err != nil {
-		return false, err
-	}
-	defer c.conn.Close()
-	w.setCurrent(c)
-	defer w.setCurrent(nil)
-	if err := c.conn.WriteSync(appendWatchRequest(nil, service.address, position)); err != nil {
-		return false, err
-	}
-	silence := time.NewTimer(w.limits.DiscoverySilence)
-	defer silence.Stop()
-	for {
-		select {
-		case <-c.received:
-			received = true
-			silence.Reset(w.limits.DiscoverySilence)
-		case <-c.closed:
-			return received, fmt.Errorf("connection ended: %w", netio.ErrClosed)
-		case <-silence.C:
-			return received, c.silenceError(w.limits.DiscoverySilence)
-		case <-service.changed:
-			return received, nil
-		case <-stop:
-			return received, nil
-		}
-	}
-}
-
 // receive delivers, drops or skips an event; parseErr is set if the event could not be parsed. It returns a
 // *missingEventError or errTooManyUnapplied if the connection must end, so that the next one requests the event again.
 func (w *Watcher) receive(e event, parseErr error) error {
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -1,8 +1,10 @@
 package netio
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -15,12 +17,21 @@
 // users allows.
 var ErrUnsolicitedInput = errors.New("unsolicited input")
 
-// Dial connects to an address with a port, or to the path of a Unix socket, and passes input to the handler that
-// newHandler returns. The caller closes the connection.
+// Dial is DialContext with a timeout for the opening of the connection.
 func Dial(
 	addr string, timeout time.Duration, limits config.ConnLimits, budget *Budget, newHandler func(*Conn) Handler,
 ) (*Conn, error) {
-	transport, err := netpoll.NewDialer().DialConnection(network(addr), addr, timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return DialContext(ctx, addr, limits, budget, newHandler)
+}
+
+// DialContext connects to an address with a port, or to the path of a Unix socket, and passes input to the handler that
+// newHandler returns. The caller closes the connection. The context bounds the opening of the connection only.
+func DialContext(
+	ctx context.Context, addr string, limits config.ConnLimits, budget *Budget, newHandler func(*Conn) Handler,
+) (*Conn, error) {
+	transport, err := dialTransport(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
@@ -48,3 +59,52 @@
 	}
 	return c, nil
 }
+
+// dialTransport opens a connection. Netpoll's own dialer takes a timeout, but can't be cancelled.
+func dialTransport(ctx context.Context, addr string) (netpoll.Connection, error) {
+	if network(addr) == "unix" {
+		return netpoll.NewDialer().DialConnection("unix", addr, 0) // never waits
+	}
+	candidates, err := resolve(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	var firstErr error // most relevant, as the addresses are in order of preference
+	for _, candidate := range candidates {
+		conn, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: candidate})
+		if err == nil {
+			return conn, nil
+		}
+		if firstErr == nil {
+			firstErr = err
+		}
+	}
+	return nil, firstErr
+}
+
+// resolve returns the TCP addresses, at least one, that an address with a port stands for.
+func resolve(ctx context.Context, addr string) ([]net.TCPAddr, error) {
+	host, service, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	port, err := net.DefaultResolver.LookupPort(ctx, "tcp", service)
+	if err != nil {
+		return nil, err
+	}
+	if host == "" {
+		return []net.TCPAddr{{Port: port}}, nil
+	}
+	hosts, err := net.DefaultResolver.LookupIPAddr(ctx, host)
+	if err != nil {
+		return nil, err
+	}
+	if len(hosts) == 0 {
+		return nil, &net.DNSError{Err: "no such host", Name: host, IsNotFound: true}
+	}
+	var addresses []net.TCPAddr
+	for _, h := range hosts {
+		addresses = append(addresses, net.TCPAddr{IP: h.IP, Port: port, Zone: h.Zone})
+	}
+	return addresses, nil
+}
