discovery: a stop of the process over 2 s does not end a watch whose bytes wait to be read

What callers saw: after a stop of 2.5 s the router gave the watch up although comments and a purge waited in its socket, and called again: what was told during the stop took a further answer of the service, which may be slow.

Cause: the timer for silence is due when the process goes on, before the socket is read. Evidence: the log said 'received nothing for 2s, but unread bytes wait'.

--- a/cmd/hillknot/slow_discovery_test.go
+++ b/cmd/hillknot/slow_discovery_test.go
@@ -190,3 +190,29 @@
 	}()
 	s.expectApplied(s.toldAt.Add(4 * time.Second))
 }
+
+// A stop of the process for longer than a watch may be silent must not end the watch while bytes of the service wait to be read:
+// what it told meanwhile would have to be requested again.
+func TestWatchOutlivesAStopOfTheProcess(t *testing.T) {
+	inParallel(t)
+	r, process := startForSlowDiscovery(t)
+	watch := r.acceptWatch("1")
+	watch.write(": here\n\n")
+	for round := range 5 {
+		r.serveOne(r.dial(), servedObject, "page")
+		process.stop()
+		for range 5 {
+			watch.write(": here\n\n")
+			time.Sleep(500 * time.Millisecond)
+		}
+		watch.sendPurge(round+2, purgedObject, time.Now())
+		process.resume()
+		select {
+		case <-r.watches:
+			t.Errorf("round %d: the watch was given up although its bytes were unread", round)
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+		watch.write(": here\n\n")
+	}
+}
--- a/internal/discovery/callset.go
+++ b/internal/discovery/callset.go
@@ -65,7 +65,7 @@
 	s.removeEnded(now)
 	if stream := s.answered(); stream != nil {
 		s.follow(stream)
-		return stream.silentAt()
+		return stream.silentAt(now)
 	}
 	s.watcher.setStream(nil)
 	next = s.nextCallAt(now)
@@ -87,7 +87,7 @@
 	for _, c := range s.open {
 		answered := c.status().phase == callAnswered
 		switch {
-		case answered && now >= c.silentAt():
+		case answered && now >= c.silentAt(now):
 			c.end(c.silenceError())
 		case !answered && now >= c.startedAt+s.watcher.limits.DiscoveryCallTimeout:
 			c.end(errUnanswered)
@@ -146,7 +146,7 @@
 	case callEnded:
 		return status.progressAt + pause
 	}
-	return s.latest.silentAt() + pause
+	return s.latest.silentAt(now) + pause
 }
 
 // start starts a call. If too many are open, it ends the second earliest: the earliest has waited longest for its answer, and is
