Hot restart: a successor waits 3.5 s for discovery, so that a slow one tells it in time

What callers saw: a successor whose discovery service takes 5 s to answer served after 1.5 s, with the list and the copies of its configuration, and heard the news 3.5 s later; what discovery tells binds it from 2 s after its readiness.

Cause: it waited 1.5 s for the events that its predecessor has, less than a slow service takes. The platform awaits a successor for 6 s: 3.5 s and the three exchanges with the predecessor of 0.5 s at most stay below that, and 5 s of answer lie before 3.5 s and the 2 s of grace.

Measured: TestHotRestartWaitsForSlowDiscovery, real processes: with 1.5 s the case of 5 s is red, with 3.5 s it applies the news 5.03 s after the start, and 2.5 s at once when it serves; a service that never answers delays the successor to 3.5 s (1.5 s before).

--- a/cmd/hillknot/slow_discovery_test.go
+++ b/cmd/hillknot/slow_discovery_test.go
@@ -216,3 +216,73 @@
 		watch.write(": here\n\n")
 	}
 }
+
+// What discovery tells binds a successor from 2 s after it says that it serves, which the platform awaits for 6 s. A successor that
+// served without waiting long enough for a slow service went on with the list and the copies of its configuration.
+func TestHotRestartWaitsForSlowDiscovery(t *testing.T) {
+	const (
+		maxStart = 6 * time.Second
+		newsBind = 2 * time.Second
+	)
+	for name, delay := range map[string]time.Duration{
+		"2.5 s": 2500 * time.Millisecond, "5 s": 5 * time.Second, "never": time.Hour,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inParallel(t)
+			r := newTestRouter(t, 2)
+			r.configure(30_000*millisecond, "settings", "specifics", "purgeTakesUs")
+			tempDir := shortTempDir(t)
+			r.startProcess("TMPDIR=" + tempDir)
+			watch := r.acceptWatch("1")
+			s := &slowDiscovery{r: r, listener: listen(t), delay: delay, joined: r.newEndpoint("joined"), toldAt: time.Now()}
+			watch.write(s.news())
+			r.waitForEndpoint(r.dial(), firstPolling, s.joined)
+
+			r.configure(s.listener.Addr().String(), "journal")
+			go s.serve()
+			begun := time.Now()
+			servingAt := r.startSuccessor("TMPDIR=" + tempDir)
+			if elapsed := servingAt.Sub(begun); elapsed > maxStart {
+				t.Errorf("the successor serves after %v, want %v at most", elapsed, maxStart)
+			}
+			if delay < maxStart {
+				s.expectApplied(servingAt.Add(newsBind))
+			}
+		})
+	}
+}
+
+// startSuccessor starts another process of the router, waits until it serves, and ends its predecessor. It returns when the
+// successor served.
+func (r *testRouter) startSuccessor(environment ...string) (servingAt time.Time) {
+	r.t.Helper()
+	predecessor := r.processes[len(r.processes)-1]
+	ops := listen(r.t)
+	address := ops.Addr().String()
+	ops.Close()
+	successor := r.launchProcess(append(environment, "RELAY_OPS="+address)...)
+	for end := time.Now().Add(harnessTimeout); !isReady(address); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("the successor does not serve in time")
+		}
+	}
+	servingAt = time.Now()
+	predecessor.end()
+	predecessor.ended = true
+	r.processes = append(r.processes, successor)
+	return servingAt
+}
+
+// isReady reports whether a router takes clients, by its address for operators.
+func isReady(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Second)) // an error shows as one of the calls below
+	_, _ = io.WriteString(conn, "GET /status HTTP/1.1\r\nHost: r\r\n\r\n")
+	status := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(conn, status)
+	return err == nil && string(status) == "HTTP/1.1 200"
+}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -86,7 +86,7 @@
 		HandoverConns:         4,
 		HandoverStateBytes:    1 * mB,
 		HandoverTimeout:       500 * ms,
-		HandoverDiscoveryWait: 1500 * ms,
+		HandoverDiscoveryWait: 3500 * ms,
 	}
 	l.setConnDefaults()
 	return l
