After a stop, bytes that are being parsed or posted count as pending, too

What callers could see: a request that overtakes a purge or a drain which came in during a stop of the process.

Cause: the loop waits after a stop until no socket holds unread bytes. discovery.Watcher.HasBacklog counted an event neither while it was being parsed (taken from the socket, not in the queue) nor while it was being posted (taken from the queue, not at the core), upstream counted responses likewise, and netio.Server looked at 'being handled' before 'unread', so bytes could pass from one to the other between the looks.

Change: netio.Conn.HasPendingInput looks at both in the order in which bytes pass; all three use it, and the queue of events is not empty while it is being posted.

Measured: TestEventThatIsBeingParsedIsBacklog and TestEventThatIsBeingPostedIsBacklog are red with their guard taken out (scratch copy), one guard each, and green with both.

--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -187,7 +187,7 @@
 	}
 	r.onClose(r.clients.Close)
 	r.core.SetBacklogCheck(func() bool {
-		return r.watcher.HasBacklog() || r.clients.HasUnreadInput() || r.upstream.HasUnreadInput()
+		return r.watcher.HasBacklog() || r.clients.HasUnreadInput() || r.upstream.HasPendingInput()
 	})
 	r.hotRestart = &hotRestart{
 		core:     r.core,
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -183,6 +183,14 @@
 	return conn != nil && conn.HasUnreadInput()
 }
 
+// hasPendingInput reports whether bytes of the service wait to be read, or are being parsed.
+func (c *call) hasPendingInput() bool {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	return conn != nil && conn.HasPendingInput()
+}
+
 // silentAt returns when the service counts as silent if no more bytes of it are received. Bytes that have arrived and wait to be
 // read put that off, but not for longer than limits.DiscoverySilence.
 func (c *call) silentAt(now time.Duration) time.Duration {
--- a/internal/discovery/delivery.go
+++ b/internal/discovery/delivery.go
@@ -24,6 +24,7 @@
 
 	mu        sync.Mutex
 	waiting   []event // not posted yet
+	isPosting bool    // flush is posting events
 	unapplied int     // entries of events that are waiting, or posted and not applied yet
 	pacer     pacer
 	scheduled bool // a call of flush is due
@@ -58,7 +59,7 @@
 func (q *eventQueue) isWaiting() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting) > 0
+	return len(q.waiting) > 0 || q.isPosting
 }
 
 // flushPaced posts the events, or has them posted together with the next ones in a long burst.
@@ -88,11 +89,14 @@
 	q.mu.Lock()
 	events := q.waiting
 	q.waiting, q.scheduled = nil, false
+	q.isPosting = true
 	q.mu.Unlock()
-	if len(events) == 0 {
-		return
+	if len(events) > 0 {
+		q.handler.PostWatchEvent(func() { q.apply(events) })
 	}
-	q.handler.PostWatchEvent(func() { q.apply(events) })
+	q.mu.Lock()
+	q.isPosting = false
+	q.mu.Unlock()
 }
 
 // apply has the handler apply events.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -122,7 +122,7 @@
 	stream := w.stream
 	caughtUp := stream != nil && stream.caughtUp
 	w.mu.Unlock()
-	return !caughtUp || stream.hasUnreadInput() || w.queue.isWaiting()
+	return !caughtUp || stream.hasPendingInput() || w.queue.isWaiting()
 }
 
 // Run watches until stop is closed, and returns after its calls have ended. It may be called once. If the address changes, it calls
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -110,6 +110,92 @@
 	expect(t, handler.events, "true 0 3")
 }
 
+// backlogChecker is an EventHandler that checks at each event, before it is posted, that the watcher has a backlog.
+type backlogChecker struct {
+	*recorder
+	watcher chan *Watcher // holds the watcher once it exists
+	missed  chan struct{} // gets a value for each event without a backlog
+}
+
+func (h *backlogChecker) PostWatchEvent(f func()) {
+	w := <-h.watcher
+	h.watcher <- w
+	if !w.HasBacklog() {
+		h.missed <- struct{}{}
+	}
+	f()
+}
+
+// waitUntilCaughtUp waits until a watcher has no backlog.
+func waitUntilCaughtUp(t *testing.T, w *Watcher) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); w.HasBacklog(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("still a backlog 20 s after everything was sent")
+		}
+	}
+}
+
+// An event that was read and is being posted, at once or by the timer of a long burst, is a backlog: after a stop of the process, a
+// request could overtake a purge.
+func TestEventThatIsBeingPostedIsBacklog(t *testing.T) {
+	ln := listen(t)
+	handler := &backlogChecker{recorder: newRecorder(), watcher: make(chan *Watcher, 1), missed: make(chan struct{}, 100)}
+	limits := testLimits(time.Millisecond)
+	limits.DiscoveryReadInterval = 25 * time.Millisecond
+	w, err := New(handler, ln.Addr().String(), limits, jsonfields.Object{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler.watcher <- w
+	runWatcher(t, w)
+	conn := acceptWatch(t, ln)
+	send(t, conn, responseHeader+"\r\n: here\n\n")
+	for position := 1; position <= 2*maxBurst; position++ { // the last ones are posted together, by a timer
+		if position <= maxBurst {
+			waitUntilCaughtUp(t, w)
+		}
+		send(t, conn, fmt.Sprintf("id: %d\ndata: {\"pos\":%d,\"expire\":{\"set\":1,\"stamp\":5}}\n\n", position, position))
+	}
+	for range 2 * maxBurst {
+		expect(t, handler.events, "true 0 1")
+	}
+	if missed := len(handler.missed); missed > 0 {
+		t.Errorf("%d events were not counted as backlog before they were posted", missed)
+	}
+}
+
+// An event that was read from its socket and is being parsed is a backlog, too.
+func TestEventThatIsBeingParsedIsBacklog(t *testing.T) {
+	ln := listen(t)
+	w := startWatcher(t, newRecorder(), ln.Addr().String(), testLimits(time.Millisecond), jsonfields.Object{})
+	conn := acceptWatch(t, ln)
+	send(t, conn, responseHeader+"\r\n: here\n\n")
+	waitUntilCaughtUp(t, w)
+	w.mu.Lock()
+	stream := w.stream
+	w.mu.Unlock()
+
+	w.queue.mu.Lock() // the event can't get into the queue
+	defer w.queue.mu.Unlock()
+	send(t, conn, "id: 1\ndata: {\"pos\":1,\"expire\":{\"set\":1,\"stamp\":5}}\n\n")
+	for end := time.Now().Add(20 * time.Second); !stream.hasPendingInput() || stream.hasUnreadInput(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the event was not read in 20 s")
+		}
+	}
+	backlog := make(chan bool, 1)
+	go func() { backlog <- w.HasBacklog() }()
+	select {
+	case found := <-backlog:
+		if !found {
+			t.Error("no backlog while an event is being parsed")
+		}
+	case <-time.After(time.Second): // it looks at the queue, as it has found nothing before
+		t.Error("no backlog found outside of the queue while an event is being parsed")
+	}
+}
+
 // Until the first bytes of the service are read, there may be events: a router that was stopped while it connected must not
 // assume that it has read all of them.
 func TestWatcherHasBacklogUntilServiceIsRead(t *testing.T) {
--- a/internal/netio/unread.go
+++ b/internal/netio/unread.go
@@ -18,7 +18,7 @@
 		if c.isEnding() {
 			return true
 		}
-		if buffered = c.isDelivering() || c.HasUnreadInput(); buffered {
+		if buffered = c.HasPendingInput(); buffered {
 			return false
 		}
 		if fd, ok := c.socket(); ok {
@@ -33,6 +33,10 @@
 	return err == nil && ready > 0
 }
 
+// HasPendingInput reports whether bytes have arrived that the handler has not got yet or is consuming now. It looks at the two in the
+// order in which bytes pass through them, so that it does not miss bytes that the handler gets meanwhile.
+func (c *Conn) HasPendingInput() bool { return c.HasUnreadInput() || c.isDelivering() }
+
 // isDelivering reports whether the handler is consuming input now.
 func (c *Conn) isDelivering() bool {
 	c.mu.Lock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -127,10 +127,10 @@
 	}
 }
 
-// HasUnreadInput reports whether any connection that awaits a response has received bytes that were not consumed yet.
-func (cl *Client) HasUnreadInput() bool {
+// HasPendingInput reports whether any connection that awaits a response has received bytes that were not consumed yet.
+func (cl *Client) HasPendingInput() bool {
 	for _, c := range cl.inFlight {
-		if c.transport.HasUnreadInput() {
+		if c.transport.HasPendingInput() {
 			return true
 		}
 	}
