upstream: look for news once more right before an attempt is written

Cause, by a trace of 64 runs: each of the 7 stale requests was past core.Permit, its last look, when the stop came, and before sendmsg; 9 more lines were of writes that had reached the page cache. No look after the stop missed the purge. Between the look and the call lay the permission for orders, the encoding and a lock, some 2 microseconds.

Change: netio.Conn.WriteSyncIf looks again under its lock, right before the bytes go to the system; if the process was stopped since the permit, nothing is written and the permit is asked for again. Why it works: the new permit applies what came during the stop. A stop between that look and the system call stays unseen; no program can close that.

TestOutdatedPermitIsRenewedBeforeTheWrite is red without the look.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -89,7 +89,8 @@
 // Upstream carries attempts to endpoints. Its methods are called on the core's goroutine, and it reports the end of
 // each attempt there by Core.CompleteAttempt.
 type Upstream interface {
-	// Send sends an attempt. It must call Core.Permit and Core.AcquireSendPermission right before it writes.
+	// Send sends an attempt. It must call Core.Permit and Core.AcquireSendPermission before it writes, and start
+	// again with Core.Permit if Core.PermitIsCurrent returns false right before the write.
 	Send(a *Attempt)
 	// Cancel cancels an attempt. When it returns, the cancellation has been written or is certain to be.
 	Cancel(a *Attempt)
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -82,6 +82,10 @@
 	return balancer.OK, balancer.NoDetail
 }
 
+// PermitIsCurrent reports whether the latest permit still holds: the process was not stopped since. It is called right before an
+// attempt is written. If it returns false, Permit must be called again, as a purge or a drain may have come in during the stop.
+func (c *Core) PermitIsCurrent() bool { return !c.stalls.isLate(c.clock()) }
+
 // needsSource reports whether the endpoint is to fill its cache from another endpoint.
 func (a *Attempt) needsSource() bool { return a.Decision.Source != a.Decision.Endpoint }
 
--- a/internal/core/stall.go
+++ b/internal/core/stall.go
@@ -28,6 +28,13 @@
 	Latest, Longest time.Duration
 }
 
+// isLate reports whether the process has stalled since the latest iteration, and records nothing.
+func (m *stallMonitor) isLate(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now-m.lastTick > m.threshold
+}
+
 // detect reports whether the process has stalled since the latest iteration, and records the stall.
 func (m *stallMonitor) detect(now time.Duration) bool {
 	m.mu.Lock()
--- a/internal/netio/write.go
+++ b/internal/netio/write.go
@@ -126,6 +126,11 @@
 func (c *Conn) flush(messages ...[]byte) error {
 	c.flushMu.Lock()
 	defer c.flushMu.Unlock()
+	return c.flushLocked(messages...)
+}
+
+// flushLocked is flush for a caller that holds flushMu.
+func (c *Conn) flushLocked(messages ...[]byte) error {
 	if c.buffersFreed || !c.transport.IsActive() {
 		return ErrClosed
 	}
@@ -143,7 +148,24 @@
 // write timeout even if the peer keeps reading slowly, because its caller has other connections to serve. An error closes
 // the connection. WriteSync must not be used on a connection on which Send is used.
 func (c *Conn) WriteSync(b []byte) error {
-	if err := c.flush(b); err != nil {
+	return c.WriteSyncIf(func() bool { return true }, b)
+}
+
+// ErrOutdated is returned by WriteSyncIf when the message was not to be written any more.
+var ErrOutdated = errors.New("message outdated")
+
+// WriteSyncIf is WriteSync for a message that an event can make outdated at any moment, such as a stop of the process. It calls
+// isCurrent right before it passes the message to the system. If that returns false, WriteSyncIf writes nothing, leaves the
+// connection open and returns ErrOutdated.
+func (c *Conn) WriteSyncIf(isCurrent func() bool, b []byte) error {
+	c.flushMu.Lock()
+	if !isCurrent() {
+		c.flushMu.Unlock()
+		return ErrOutdated
+	}
+	err := c.flushLocked(b)
+	c.flushMu.Unlock()
+	if err != nil {
 		c.Close()
 		return fmt.Errorf("write: %w", err)
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,6 +4,7 @@
 package upstream
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -21,6 +22,7 @@
 type Core interface {
 	Post(f func())
 	Permit(a *core.Attempt) (balancer.Status, balancer.Detail)
+	PermitIsCurrent() bool
 	AcquireSendPermission(a *core.Attempt) bool
 	CompleteAttempt(a *core.Attempt, result core.AttemptResult)
 	AttemptWritten(a *core.Attempt)
@@ -151,17 +153,21 @@
 
 // write sends the request of an attempt on a connection, unless the core no longer permits it.
 func (cl *Client) write(c *connection, a *core.Attempt) {
-	if status, detail := cl.core.Permit(a); status != balancer.OK {
-		cl.core.CompleteAttempt(a, core.AttemptResult{Status: status, Detail: detail})
-		return
-	}
-	if !cl.core.AcquireSendPermission(a) { // another router must know of the attempt first; the core sends it again then
-		return
+	err := netio.ErrOutdated
+	for errors.Is(err, netio.ErrOutdated) {
+		if status, detail := cl.core.Permit(a); status != balancer.OK {
+			cl.core.CompleteAttempt(a, core.AttemptResult{Status: status, Detail: detail})
+			return
+		}
+		if !cl.core.AcquireSendPermission(a) { // another router must know of the attempt first; the core sends it again then
+			return
+		}
+		c.awaited.add(a.Request.Txn) // the response may be read before the write returns
+		if err = c.transport.WriteSyncIf(cl.core.PermitIsCurrent, appendRequest(nil, a)); err != nil {
+			c.awaited.remove(a.Request.Txn)
+		}
 	}
-	c.awaited.add(a.Request.Txn) // the response may be read before the write returns
-	err := c.transport.WriteSync(appendRequest(nil, a))
 	if netio.IsIncompleteWrite(err) { // the endpoint did not get the whole request, so the request can't run
-		c.awaited.remove(a.Request.Txn)
 		c.fail()
 		cl.resend(a)
 		return
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -23,6 +23,20 @@
 	}
 }
 
+// A stop of the process between the permit and the write makes the permit outdated: nothing is written by it, the core is asked
+// again, and the request carries what the new permit allows.
+func TestOutdatedPermitIsRenewedBeforeTheWrite(t *testing.T) {
+	h := newHarness(t)
+	h.do(func() { h.outdatedPermits = 2 })
+	h.send("t1")
+	_, r := h.accept()
+	h.expectLine(r, "ASK t1 kind=c,obj=0a,seg=0,ms=1,newer=3000 ")
+	h.do(func() {}) // waits until the write is complete
+	if n := h.written.Load(); n != 1 {
+		t.Errorf("%d attempts reported as written, want 1", n)
+	}
+}
+
 // A cancellation is written before the next attempt, and the connection stays in use. A response that crosses the
 // cancellation is ignored. A new attempt of the same request is not sent to this endpoint: on another connection the
 // endpoint could read it before the cancellation, and would hold two copies, as happened in the scenario join+mass.
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -25,14 +25,24 @@
 	results chan core.AttemptResult
 	permit  balancer.Status // returned by Permit; only the fake core's goroutine uses it
 	now     atomic.Int64    // reading of the core's clock
-	written atomic.Int64    // attempts that were reported as written
+	// outdatedPermits is how many permits are outdated when they are to be used; only the fake core's goroutine uses it.
+	outdatedPermits int
+	written         atomic.Int64 // attempts that were reported as written
 }
 
 func (h *harness) Post(f func())                            { h.posts <- f }
 func (h *harness) AcquireSendPermission(*core.Attempt) bool { return true }
 func (h *harness) AttemptWritten(*core.Attempt)             { h.written.Add(1) }
 
-func (h *harness) Permit(*core.Attempt) (balancer.Status, balancer.Detail) {
+// PermitIsCurrent implements Core. Each permit is outdated for the first outdatedPermits calls, as after stops of the process.
+func (h *harness) PermitIsCurrent() bool {
+	h.outdatedPermits--
+	return h.outdatedPermits < 0
+}
+
+// Permit implements Core. Each permit sets another maximum age, as purges that came in before do.
+func (h *harness) Permit(a *core.Attempt) (balancer.Status, balancer.Detail) {
+	a.Decision.MaxAge += time.Second
 	return h.permit, balancer.NoDetail
 }
 
