netio: at the end, close a connection once what arrived on it is answered, not after 50 ms

Cause: Server.Shutdown discarded what was unread after 50 ms; beside a flood and other load the poller needs over 100 ms to come round. Change: a connection closes once nothing on it waits to be read or answered; what never rests is closed 50 ms before the deadline, and a client gets no more answers from then on than it may have open requests, so that floods don't use up the time. The floods say for each lost request when it was sent and how its connection ended.

--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -19,6 +19,9 @@
 	methodHealth = "health"
 )
 
+// errTooManyAtShutdown is returned for a request of a client that has sent too many since Server.Shutdown was called.
+var errTooManyAtShutdown = errors.New("too many requests during a shutdown")
+
 // errDuplicateID is returned for a request whose message id belongs to another one that has no answer yet.
 var errDuplicateID = errors.New("duplicate message id")
 
@@ -30,6 +33,8 @@
 	refusals  refusals
 	closed    atomic.Bool // the connection has ended; no answer can be delivered
 
+	atShutdown int // requests that were read since Server.Shutdown was called; only Consume uses it
+
 	openRequests map[uint64]openRequest // requests without an answer, by the client's message id
 	badRequests  int                    // invalid requests so far
 }
@@ -105,6 +110,12 @@
 		}
 		return nil
 	}
+	if c.server.isClosing.Load() {
+		if c.atShutdown++; c.atShutdown > c.server.limits.OpenPerConn {
+			c.transport.CloseAfterReplies(netio.CloseTooManyAtShutdown)
+			return errTooManyAtShutdown
+		}
+	}
 	if c.admission.contains(m.ID) || c.refusals.contains(m.ID) { // the client could not tell two answers with one id apart
 		c.transport.CloseAfterReplies(netio.CloseDuplicateID)
 		return errDuplicateID
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -3,6 +3,7 @@
 package msgpackrpc
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hillknot/balancer"
@@ -37,6 +38,7 @@
 	limits    config.Limits
 	classes   map[string]balancer.Class // by method name
 	admission serverAdmission
+	isClosing atomic.Bool // Shutdown was called
 }
 
 // Listen opens a listener on addr, or uses the inherited listener if its descriptor is above 0. The budget bounds the
@@ -63,6 +65,13 @@
 	return s, nil
 }
 
+// Shutdown is netio.Server.Shutdown. Requests that arrive meanwhile are answered, but no more of a client than it may have open:
+// one that sends without pause would take the time in which the requests of the others are to be read.
+func (s *Server) Shutdown(deadline time.Duration) {
+	s.isClosing.Store(true)
+	s.Server.Shutdown(deadline)
+}
+
 // idleTimeouts returns how long a connection without pending answers may stay open: while it is idle, and while a message
 // is incomplete. A draining router still waits for incomplete messages, but gives up on them in stage core.CloseAll,
 // before it counts as empty.
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -331,6 +331,40 @@
 	}
 }
 
+// During a shutdown, a client gets answers to as many requests as it may have open, and then the end of its connection: one that
+// sends without pause must not take the time in which the requests of others are read.
+func TestShutdownAnswersNoMoreThanTheOpenRequests(t *testing.T) {
+	fake, server, dial := startServer(t)
+	c := dial()
+	c.call(1, "page")
+	open := <-fake.submitted // keeps the connection open
+	begun := clock.Now()
+	go server.Shutdown(begun + 10*time.Second)
+	for !server.isClosing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	most := server.limits.OpenPerConn
+	var flood []byte
+	for id := 2; id < 2+3*most; id++ {
+		flood = rpc.AppendHealthRequest(flood, uint64(id))
+	}
+	if _, err := c.nc.Write(flood); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		fake.Post(func() { open.Reply(core.Answer{Verdict: core.Rejected}) })
+	})
+	answers := -1 // without that to the first request
+	for ; ; answers++ {
+		if _, err := c.dec.DecodeSlice(); err != nil {
+			break
+		}
+	}
+	if answers != most || clock.Now()-begun > 5*time.Second {
+		t.Errorf("%d answers in %v, want %d and then the end", answers, clock.Now()-begun, most)
+	}
+}
+
 // A request that is read as its connection ends, and reaches the core's goroutine after Closed, is not submitted: nothing
 // could cancel it any more, and it would be sent to a page cache for a client that has gone.
 func TestRequestAfterCloseIsNotSubmitted(t *testing.T) {
--- a/internal/netio/close.go
+++ b/internal/netio/close.go
@@ -103,8 +103,9 @@
 type partialPolicy uint8
 
 const (
-	keepPartial partialPolicy = iota // the connection is not idle
-	dropPartial                      // the connection is idle, and the incomplete message is lost
+	keepPartial    partialPolicy = iota // the connection is not idle
+	dropUnfinished                      // the connection is idle unless more bytes of the message wait to be read
+	dropPartial                         // the connection is idle, and the incomplete message is lost
 )
 
 // markClosingIfIdle moves the connection to stateClosing if no reply is pending, nothing waits to be written and no input
@@ -116,7 +117,7 @@
 	if !c.state.acceptsInput() || c.delivering || c.queue.bytes > 0 || c.hasPendingReplies() {
 		return false
 	}
-	if partial == keepPartial && (c.input.isPartial() || c.HasUnreadInput()) {
+	if partial == keepPartial && c.input.isPartial() || partial != dropPartial && c.HasUnreadInput() {
 		return false
 	}
 	c.state = c.state.after(stepClose)
--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -18,6 +18,7 @@
 	CloseDuplicateID
 	CloseTooManyBadRequests
 	CloseTooManyRefusals
+	CloseTooManyAtShutdown
 	closeDraining
 	closeIdleTimeout
 	closeReadTimeout
@@ -35,6 +36,7 @@
 	CloseDuplicateID:        "duplicate message id",
 	CloseTooManyBadRequests: "too many bad requests",
 	CloseTooManyRefusals:    "too many refusals wait to be sent",
+	CloseTooManyAtShutdown:  "too many requests during a shutdown",
 	closeDraining:           "draining",
 	closeIdleTimeout:        "idle timeout",
 	closeReadTimeout:        "message incomplete for too long",
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -183,19 +183,24 @@
 	return true
 }
 
-// Shutdown stops accepting and closes the open connections gracefully: requests that were read are answered, and queued
-// messages are written. For shutdownReadTime, a connection is closed only once nothing has arrived on it that was not answered;
-// after that, input that was not read yet is discarded. Shutdown returns once the peers have closed their sides too, or at the
-// deadline, which is a reading of package clock. The caller must call Close afterwards.
+// Shutdown stops accepting and closes the open connections gracefully: requests that have arrived are answered, and queued
+// messages are written. A connection is closed once nothing has arrived on it that was not answered; after shutdownPartialTime,
+// an incomplete message does not put that off. A peer that sends without pause keeps its connection until shutdownFlushTime before
+// the deadline, and what it has sent by then and was not read is discarded. Shutdown returns once the peers have closed their
+// sides too, or at the deadline, which is a reading of package clock. The caller must call Close afterwards.
 func (s *Server) Shutdown(deadline time.Duration) {
 	s.listener.state.stop()
 	now := clock.Now()
-	readUntil := now + min(shutdownReadTime, (deadline-now)/2)
+	partialUntil := now + shutdownPartialTime
+	readUntil := deadline - min(shutdownFlushTime, (deadline-now)/2)
 	for ; s.slots.open.Load() > 0 && now < deadline; now = clock.Now() {
 		s.forEachConn(func(c *Conn) bool {
-			if now >= readUntil {
+			switch {
+			case now >= readUntil:
 				c.CloseAfterReplies(closeShutdown)
-			} else {
+			case now >= partialUntil:
+				c.closeIfIdle(closeShutdown, dropUnfinished)
+			default:
 				c.closeIfIdle(closeShutdown, keepPartial)
 			}
 			return true
@@ -204,8 +209,10 @@
 	}
 }
 
-// shutdownReadTime is how long Shutdown still reads what has arrived.
-const shutdownReadTime = 50 * time.Millisecond
+const (
+	shutdownPartialTime = 50 * time.Millisecond // for which Shutdown waits for the rest of incomplete messages
+	shutdownFlushTime   = 50 * time.Millisecond // before its deadline, in which Shutdown only writes
+)
 
 // shutdownPollInterval is how often Shutdown checks whether all connections have closed.
 const shutdownPollInterval = 2 * time.Millisecond
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -80,7 +80,8 @@
 	add(r.use.memoryMB > floodMemoryMB, fmt.Sprintf("memory over %d MB", floodMemoryMB))
 	add(r.use.descriptors > floodSockets, fmt.Sprintf("over %d descriptors", floodSockets))
 	add(r.steady.late > 0, "late answers")
-	add(r.steady.lost > 0 || r.steady.answeredTwice > 0, "steady client without exactly one answer")
+	add(r.steady.lost > 0 || r.steady.answeredTwice > 0,
+		"steady client without exactly one answer: "+strings.Join(r.steady.lostDetails, ", "))
 	add(r.steady.answered() == 0, "steady client never answered")
 	add(!r.mayLoseAnswers && r.flood.lost > 0, "requests of the flood without an answer")
 	add(r.flood.answeredTwice > 0, "requests of the flood answered twice")
--- a/loadtest/floodclients.go
+++ b/loadtest/floodclients.go
@@ -108,7 +108,7 @@
 	if f.readsAnswers {
 		go func() {
 			defer close(ended)
-			readResponses(f.conn, f.record)
+			_ = readResponses(f.conn, f.record)
 		}()
 	}
 	f.writeAll(write, ended)
--- a/loadtest/floodstops.go
+++ b/loadtest/floodstops.go
@@ -59,7 +59,7 @@
 	answers := make(chan struct{}, 2*floodWindow)
 	go func() {
 		defer close(answers)
-		readResponses(conn, func(rpc.ResponseHeader) { answers <- struct{}{} })
+		_ = readResponses(conn, func(rpc.ResponseHeader) { answers <- struct{}{} })
 	}()
 	for id := uint64(1); id <= floodWindow; id++ {
 		message, _ := bodyRequests(nil, number, id)
--- a/loadtest/pipelinedload.go
+++ b/loadtest/pipelinedload.go
@@ -175,7 +175,7 @@
 
 // read counts the answers on a connection until it ends.
 func (l *pipelinedLoad) read(conn net.Conn) {
-	readResponses(conn, l.countAnswer)
+	_ = readResponses(conn, l.countAnswer)
 	_ = conn.Close() // the next request is sent on a new connection
 	l.mu.Lock()
 	l.ended = conn
--- a/loadtest/responses.go
+++ b/loadtest/responses.go
@@ -18,19 +18,19 @@
 )
 
 // readResponses calls handle with the header of each response on a connection, until the connection ends or data arrives that
-// is not a response.
-func readResponses(conn net.Conn, handle func(rpc.ResponseHeader)) {
+// is not a response. It returns the error that ended it.
+func readResponses(conn net.Conn, handle func(rpc.ResponseHeader)) error {
 	buf := make([]byte, 0, responseBuffer)
 	for {
 		n, err := conn.Read(buf[len(buf):cap(buf)])
 		if err != nil {
-			return
+			return err
 		}
 		buf = buf[:len(buf)+n]
 		for {
 			header, size, err := parseResponse(buf)
 			if err != nil {
-				return
+				return err
 			}
 			if size == 0 {
 				break
--- a/loadtest/soakclient.go
+++ b/loadtest/soakclient.go
@@ -226,7 +226,7 @@
 // as well.
 func (s *soakConn) read() {
 	defer close(s.readerDone)
-	readResponses(s.conn, func(header rpc.ResponseHeader) {
+	_ = readResponses(s.conn, func(header rpc.ResponseHeader) {
 		received := time.Now()
 		s.client.history.update(func() {
 			if request := s.inFlight[header.ID]; request != nil {
--- a/loadtest/steadyclient.go
+++ b/loadtest/steadyclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	late                          int // answered later than timeout and tolerance allow
 	lost                          int // without an answer
 	answeredTwice                 int
+	lostDetails                   []string // a description of each lost request
 }
 
 func (r steadyResult) answered() int { return r.served + r.refused + r.failed }
@@ -36,9 +38,16 @@
 	settled atomic.Bool // the client opens no further connection
 	sender  sync.WaitGroup
 
-	mu       sync.Mutex
-	inFlight map[uint64]time.Time // by message id: when the request was sent
-	result   steadyResult
+	mu         sync.Mutex
+	inFlight   map[uint64]time.Time // by message id: when the request was sent
+	answeredAt time.Time            // the latest answer on the current connection
+	result     steadyResult
+}
+
+// connEnd is the end of a connection as its reader saw it.
+type connEnd struct {
+	at  time.Time
+	err error // of the read
 }
 
 // startSteadyClient starts to send. The caller ends the client with stop.
@@ -76,18 +85,18 @@
 
 // use sends requests on a connection until it ends or the client is stopped. It returns the next message id.
 func (c *steadyClient) use(conn net.Conn, id uint64) uint64 {
-	ended := make(chan time.Time, 1)
+	ended := make(chan connEnd, 1)
 	go func() {
-		readResponses(conn, c.record)
-		ended <- time.Now()
+		err := readResponses(conn, c.record)
+		ended <- connEnd{time.Now(), err}
 	}()
 	ticker := time.NewTicker(steadyInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case at := <-ended:
+		case end := <-ended:
 			_ = conn.Close() // the router has closed it
-			c.finish(at)
+			c.finish(end)
 			return id
 		case <-c.stopped:
 			c.awaitAnswers(ended)
@@ -119,6 +128,7 @@
 func (c *steadyClient) record(header rpc.ResponseHeader) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answeredAt = time.Now()
 	sent, known := c.inFlight[header.ID]
 	if !known {
 		c.result.answeredTwice++
@@ -143,23 +153,26 @@
 
 // finish counts the requests that were in flight on a connection that ended. A request that crossed the end is not lost, as the
 // client would send it again.
-func (c *steadyClient) finish(ended time.Time) {
+func (c *steadyClient) finish(end connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, sent := range c.inFlight {
-		if ended.Sub(sent) > steadyCrossing {
+	for id, sent := range c.inFlight {
+		if end.at.Sub(sent) > steadyCrossing {
 			c.result.lost++
+			c.result.lostDetails = append(c.result.lostDetails, fmt.Sprintf(
+				"request %d of %d, sent %v before its connection ended with %v, at %v; latest answer on it %v before that end",
+				id, c.result.sent, end.at.Sub(sent), end.err, end.at.Format("15:04:05.000"), end.at.Sub(c.answeredAt)))
 		}
 	}
 	clear(c.inFlight)
 }
 
 // awaitAnswers waits for the answers that are due, and counts those that do not come as lost.
-func (c *steadyClient) awaitAnswers(ended <-chan time.Time) {
+func (c *steadyClient) awaitAnswers(ended <-chan connEnd) {
 	for end := time.Now().Add(steadyTimeout + steadyTolerance); time.Now().Before(end); time.Sleep(steadyInterval) {
 		select {
-		case at := <-ended:
-			c.finish(at)
+		case end := <-ended:
+			c.finish(end)
 			return
 		default:
 		}
@@ -170,5 +183,8 @@
 			return
 		}
 	}
-	c.finish(time.Now())
+	c.finish(connEnd{time.Now(), errAnswerTimeout})
 }
+
+// errAnswerTimeout is the end of a connection on which answers that are due did not come in time.
+var errAnswerTimeout = errors.New("no answer in time")
