core: an id that may have run does not run again when it comes again

Cause: an id was known only as long as its request was open. Clients take a new id for every request, so it takes one that breaks the protocol; but 'must never run twice' has no such exception, and the router is the only one that sees both.

The set is that of upstream (abandoned, unserved), which moves to a package of its own, agingset. Why it works: whatever the way in which the first request ended, its attempt ends by core.CompleteAttempt, where it is recorded.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -106,6 +106,7 @@
 	r.attempt, r.attemptAwaitingPermission = nil, nil
 	if !result.Status.NeverRan() {
 		r.recordExecution(a)
+		c.rememberExecution(&r.Request)
 	}
 	c.stats.attemptsEnded[result.Status]++
 	c.traceAttemptEnd(a, result)
@@ -118,6 +119,13 @@
 	c.reportOutcome(a, result)
 }
 
+// rememberExecution remembers that a request may have run, if a second run may do harm.
+func (c *Core) rememberExecution(q *Request) {
+	if c.policy.classes[q.Class].nonIdempotent() {
+		c.requests.mayHaveRun.Add(q.Txn, c.iteration.now, c.limits.LongestDeadline)
+	}
+}
+
 // serve answers a request with the result of its attempt.
 func (c *Core) serve(r *request, result AttemptResult) {
 	c.removeRequest(r)
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hillknot/balancer"
+	"hillknot/internal/agingset"
 )
 
 // requestState is the state of a request.
@@ -64,6 +65,10 @@
 	open   map[balancer.RequestID]*request
 	byTxn  map[string]*request // the same requests: page caches and other routers know a request by its txn
 	lastID atomic.Uint64       // any goroutine
+
+	// mayHaveRun holds the txns of recent requests that may have run, where a second run may do harm. Another request with such a
+	// txn is not sent, whoever sends it: its endpoint could not tell the two apart, and another one would run it again.
+	mayHaveRun agingset.Set
 }
 
 func newRequestTable() requestTable {
@@ -129,6 +134,9 @@
 	case c.requests.byTxn[q.Txn] != nil: // page caches could not tell the two requests apart
 		c.rejectNew(&q, RefusedDuplicate, Answer{Verdict: Failed, Reason: ReasonBadRequest})
 		return
+	case c.policy.classes[q.Class].nonIdempotent() && c.requests.mayHaveRun.Contains(q.Txn):
+		c.rejectNew(&q, RefusedDuplicate, failedAnswer)
+		return
 	}
 	r := &request{
 		Request:        q,
--- a/internal/core/statistics.go
+++ b/internal/core/statistics.go
@@ -88,7 +88,7 @@
 	RefusedMemory                                   // too many bytes are buffered
 	RefusedDraining                                 // the router drains or ends
 	RefusedNoTime                                   // the client waits no longer
-	RefusedDuplicate                                // another request with the same txn is open
+	RefusedDuplicate                                // another request with the same txn is open, or may have run lately
 	RefusedMalformed                                // the request is not valid
 	RefusedByDecision                               // the decision module rejected it
 	refusalReasonCount
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -57,7 +57,7 @@
 func (cl *Client) Send(a *core.Attempt) {
 	p := cl.pool(a.Endpoint)
 	cl.closeExpired(p)
-	if p.abandoned.contains(a.Request.Txn) { // see recentRequests: the core must choose another endpoint
+	if p.abandoned.Contains(a.Request.Txn) { // the core must choose another endpoint
 		cl.complete(a, balancer.Abandoned)
 		return
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hillknot/balancer"
+	"hillknot/internal/agingset"
 	"hillknot/internal/core"
 	"hillknot/internal/netio"
 )
@@ -19,9 +20,12 @@
 	inFlight  map[string]*core.Attempt // by txn
 	draining  bool                     // the connection carries no new attempts, and closes after the last response
 
-	idleSince     time.Duration  // reading of the core's clock; valid while nothing is in flight
-	awaitingSince time.Duration  // reading of the core's clock at the first write after an idle time, or at the latest response
-	unserved      recentRequests // requests whose response on this connection said that they were not served
+	idleSince     time.Duration // reading of the core's clock; valid while nothing is in flight
+	awaitingSince time.Duration // reading of the core's clock at the first write after an idle time, or at the latest response
+
+	// unserved holds requests that got a response on this connection and were not served. A response may arrive twice, the
+	// second time late. It would then be mistaken for the response to the next attempt of the request, which may be running.
+	unserved agingset.Set
 }
 
 // attach sets the transport of a connection that is being dialed, and returns the connection as its handler.
@@ -40,7 +44,7 @@
 // response to an attempt. The duplicate could wrongly prove that an order never ran, and the order would then run again, so
 // such an attempt must be sent on another connection.
 func (c *connection) mayGetDuplicateFor(a *core.Attempt) bool {
-	return a.NonIdempotent && c.unserved.contains(a.Request.Txn)
+	return a.NonIdempotent && c.unserved.Contains(a.Request.Txn)
 }
 
 // canCarry reports whether an attempt may be sent on the connection.
@@ -108,7 +112,7 @@
 
 // abandon records that a request may still run at the endpoint.
 func (c *connection) abandon(txn string) {
-	c.pool.abandoned.add(txn, c.client.now(), c.client.limits.LongestDeadline)
+	c.pool.abandoned.Add(txn, c.client.now(), c.client.limits.LongestDeadline)
 }
 
 func (c *connection) writeCancel(txn string) error {
@@ -228,12 +232,12 @@
 // recordUnserved records that a request was not served. If it is recorded already, the response may be a duplicate of the
 // earlier one, so the attempt is cancelled before another one is sent.
 func (c *connection) recordUnserved(txn string) error {
-	if c.unserved.contains(txn) {
+	if c.unserved.Contains(txn) {
 		c.abandon(txn)
 		if err := c.writeCancel(txn); err != nil {
 			return err
 		}
 	}
-	c.unserved.add(txn, c.client.now(), c.client.limits.LongestDeadline)
+	c.unserved.Add(txn, c.client.now(), c.client.limits.LongestDeadline)
 	return nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,17 +4,24 @@
 	"slices"
 
 	"hillknot/balancer"
+	"hillknot/internal/agingset"
 	"hillknot/internal/core"
 )
 
 // pool holds the connections to one endpoint. Attempts wait only while connections are being dialed.
 type pool struct {
-	address   string
-	conns     []*connection
-	dialing   int // connections that are being dialed
-	waiting   []*core.Attempt
-	closed    bool           // CloseEndpoint was called; connections that are still being dialed are closed once they open
-	abandoned recentRequests // requests that were cancelled at this endpoint, or whose connection closed
+	address string
+	conns   []*connection
+	dialing int // connections that are being dialed
+	waiting []*core.Attempt
+	closed  bool // CloseEndpoint was called; connections that are still being dialed are closed once they open
+
+	// abandoned holds requests that were abandoned at the endpoint, by a cancellation or by closing their connection. An
+	// endpoint reads its connections in no particular order. If the same request were sent again on another connection, the
+	// endpoint could read it before the cancellation or the close, and would hold two copies at the same time. On the same
+	// connection, a response that crosses the cancellation could be mistaken for the response to the new request. Therefore the
+	// same request is not sent to the endpoint again.
+	abandoned agingset.Set
 }
 
 // pick returns the connection with the fewest attempts in flight among those that can carry the attempt, or nil if there is
