--- a/cmd/hillknot/harness_process_test.go
+++ b/cmd/hillknot/harness_process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -79,6 +80,7 @@
 	if err := p.cmd.Wait(); err != nil {
 		p.t.Errorf("the router ended with an error: %v", err)
 	}
+	p.ended = true
 }
 
 func (p *routerProcess) signal(sig syscall.Signal) {
@@ -124,3 +126,34 @@
 	p.t.Helper()
 	p.signal(syscall.SIGCONT)
 }
+
+// startSuccessor starts another process of the router and waits until it serves. It returns when that was. The predecessor stays.
+func (r *testRouter) startSuccessor(environment ...string) (servingAt time.Time) {
+	r.t.Helper()
+	ops := listen(r.t)
+	address := ops.Addr().String()
+	ops.Close()
+	successor := r.launchProcess(append(environment, "RELAY_OPS="+address)...)
+	for end := time.Now().Add(harnessTimeout); !isReady(address); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("the successor does not serve in time")
+		}
+	}
+	servingAt = time.Now()
+	r.processes = append(r.processes, successor)
+	return servingAt
+}
+
+// isReady reports whether a router takes clients, by its address for operators.
+func isReady(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(time.Second)) // an error shows as one of the calls below
+	_, _ = io.WriteString(conn, "GET /status HTTP/1.1\r\nHost: r\r\n\r\n")
+	status := make([]byte, len("HTTP/1.1 200"))
+	_, err = io.ReadFull(conn, status)
+	return err == nil && string(status) == "HTTP/1.1 200"
+}
--- a/cmd/hillknot/hotrestart.go
+++ b/cmd/hillknot/hotrestart.go
@@ -3,6 +3,7 @@
 import (
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hillknot/internal/config"
@@ -24,6 +25,7 @@
 	clients  *msgpackrpc.Server
 	budget   *netio.Budget
 	limits   config.Limits
+	listener atomic.Pointer[handover.SuccessorListener] // nil: this process can't be replaced
 
 	mu             sync.Mutex
 	hasPredecessor bool
@@ -53,8 +55,14 @@
 	imported := make(chan struct{})
 	r.core.Post(func() {
 		r.core.ImportModuleSnapshot(state.Snapshot)
+		for _, id := range state.RequestIDs {
+			r.core.RememberRequest(id)
+		}
 		close(imported)
 	})
+	if state.RequestIDs != nil {
+		r.followRequests(p)
+	}
 	select {
 	case <-imported:
 	case <-cancel:
@@ -66,6 +74,23 @@
 	return true
 }
 
+// followRequests has the core remember the requests that the predecessor still sends, so that they don't run again here.
+func (r *hotRestart) followRequests(p *handover.Predecessor) {
+	err := p.Follow(func(id string) {
+		r.core.Post(func() { r.core.RememberRequest(id) })
+	})
+	if err != nil {
+		log.Warn("hot restart without state", logging.KeyError, err)
+	}
+}
+
+// requestRemembered tells successors of a request that must not run again.
+func (r *hotRestart) requestRemembered(txn string) {
+	if listener := r.listener.Load(); listener != nil {
+		listener.RequestSent(txn)
+	}
+}
+
 // waitForPredecessor waits until the predecessor has ended and then gives this process all of the router's limits. It
 // returns early if stop is closed.
 func (r *hotRestart) waitForPredecessor(p *handover.Predecessor, stop <-chan struct{}) {
@@ -93,7 +118,11 @@
 func (r *hotRestart) State() handover.State {
 	exported := make(chan handover.State, 1)
 	r.core.Post(func() {
-		exported <- handover.State{DiscoveryPosition: r.watcher.Position(), Snapshot: r.core.ExportModuleSnapshot()}
+		exported <- handover.State{
+			DiscoveryPosition: r.watcher.Position(),
+			Snapshot:          r.core.ExportModuleSnapshot(),
+			RequestIDs:        append([]string{}, r.core.RememberedRequests()...),
+		}
 	})
 	timeout := time.NewTimer(r.limits.HandoverTimeout / 2)
 	defer timeout.Stop()
--- a/cmd/hillknot/repeated_id_test.go
+++ b/cmd/hillknot/repeated_id_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
+	"time"
 )
 
 // repeatedID is the id of a request that comes twice in these tests.
@@ -88,3 +90,36 @@
 		}
 	}
 }
+
+// The same at the other process of an upgrade: whether the request was sent before the successor served, or by the predecessor after
+// that, on a connection that it has kept, and whether or not it is still out there.
+func TestRepeatedIDDoesNotRunAgainAtTheSuccessor(t *testing.T) {
+	ways := maps.Clone(waysToEnd)
+	ways["it is still out"] = func(*testRouter, *testClient, endpointMessage) {}
+	for name, sentAfterUpgrade := range map[string]bool{"sent before the upgrade": false, "sent by the predecessor after it": true} {
+		for wayName, end := range ways {
+			t.Run(name+", "+wayName, func(t *testing.T) {
+				inParallel(t)
+				r := newTestRouter(t, 3)
+				tempDir := shortTempDir(t)
+				predecessor := r.startProcess("TMPDIR=" + tempDir)
+				client := r.dial()
+				client.expectReady(9)
+				send := func() {
+					client.requestRepeatedID("order")
+					end(r, client, r.nextAttempt())
+				}
+				if !sentAfterUpgrade {
+					send()
+				}
+				r.startSuccessor("TMPDIR=" + tempDir)
+				if sentAfterUpgrade {
+					send()
+					time.Sleep(50 * time.Millisecond) // the predecessor tells the successor beside sending
+				}
+				predecessor.stop() // from now on, only the successor accepts connections
+				r.expectNoSecondRun("order")
+			})
+		}
+	}
+}
--- a/cmd/hillknot/router.go
+++ b/cmd/hillknot/router.go
@@ -197,6 +197,7 @@
 		budget:   budget,
 		limits:   limits,
 	}
+	r.core.OnRemembered(r.hotRestart.requestRemembered)
 	return r.listenOtherFrontEnds(budget)
 }
 
@@ -250,6 +251,7 @@
 		log.Error("hot restart unavailable", logging.KeyError, err)
 		return
 	}
+	r.hotRestart.listener.Store(listener)
 	r.onClose(listener.Close)
 }
 
--- a/cmd/hillknot/slow_discovery_test.go
+++ b/cmd/hillknot/slow_discovery_test.go
@@ -241,7 +241,9 @@
 			r.configure(s.listener.Addr().String(), "journal")
 			go s.serve()
 			begun := time.Now()
+			predecessor := r.processes[0]
 			servingAt := r.startSuccessor("TMPDIR=" + tempDir)
+			predecessor.end()
 			if elapsed := servingAt.Sub(begun); elapsed > maxStart {
 				t.Errorf("the successor serves after %v, want %v at most", elapsed, maxStart)
 			}
@@ -251,38 +253,3 @@
 		})
 	}
 }
-
-// startSuccessor starts another process of the router, waits until it serves, and ends its predecessor. It returns when the
-// successor served.
-func (r *testRouter) startSuccessor(environment ...string) (servingAt time.Time) {
-	r.t.Helper()
-	predecessor := r.processes[len(r.processes)-1]
-	ops := listen(r.t)
-	address := ops.Addr().String()
-	ops.Close()
-	successor := r.launchProcess(append(environment, "RELAY_OPS="+address)...)
-	for end := time.Now().Add(harnessTimeout); !isReady(address); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			r.t.Fatal("the successor does not serve in time")
-		}
-	}
-	servingAt = time.Now()
-	predecessor.end()
-	predecessor.ended = true
-	r.processes = append(r.processes, successor)
-	return servingAt
-}
-
-// isReady reports whether a router takes clients, by its address for operators.
-func isReady(address string) bool {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(time.Second)) // an error shows as one of the calls below
-	_, _ = io.WriteString(conn, "GET /status HTTP/1.1\r\nHost: r\r\n\r\n")
-	status := make([]byte, len("HTTP/1.1 200"))
-	_, err = io.ReadFull(conn, status)
-	return err == nil && string(status) == "HTTP/1.1 200"
-}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -82,6 +82,9 @@
 	return balancer.OK, balancer.NoDetail
 }
 
+// BeginWrite records that an attempt is about to be written.
+func (c *Core) BeginWrite(a *Attempt) { c.rememberExecution(a.Request) }
+
 // PermitIsCurrent reports whether the latest permit still holds: the process was not stopped since. It is called right before an
 // attempt is written. If it returns false, Permit must be called again, as a purge or a drain may have come in during the stop.
 func (c *Core) PermitIsCurrent() bool { return !c.stalls.isLate(c.clock()) }
@@ -119,13 +122,30 @@
 	c.reportOutcome(a, result)
 }
 
-// rememberExecution remembers that a request may have run, if a second run may do harm.
+// rememberExecution remembers that a request may run or may have run, if a second run may do harm.
 func (c *Core) rememberExecution(q *Request) {
-	if c.policy.classes[q.Class].nonIdempotent() {
-		c.requests.mayHaveRun.Add(q.Txn, c.iteration.now, c.limits.LongestDeadline)
+	if !c.policy.classes[q.Class].nonIdempotent() || c.requests.mayHaveRun.Contains(q.Txn) {
+		return
+	}
+	c.RememberRequest(q.Txn)
+	if c.onRemembered != nil {
+		c.onRemembered(q.Txn)
 	}
 }
 
+// RememberRequest remembers that a request may have run at another process of this router: a request with its txn that may do harm
+// if it runs twice is not sent any more.
+func (c *Core) RememberRequest(txn string) {
+	c.requests.mayHaveRun.Add(txn, c.iteration.now, c.limits.LongestDeadline)
+}
+
+// RememberedRequests returns the txns of recent requests that may have run and that must not run again.
+func (c *Core) RememberedRequests() []string { return c.requests.mayHaveRun.Members() }
+
+// OnRemembered sets a function that is called with the txn of each request that is about to be sent, if it must not run again. It
+// is called once, before Run.
+func (c *Core) OnRemembered(f func(txn string)) { c.onRemembered = f }
+
 // serve answers a request with the result of its attempt.
 func (c *Core) serve(r *request, result AttemptResult) {
 	c.removeRequest(r)
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -47,6 +47,7 @@
 	filled.Snapshot.Purges = filled.Snapshot.Purges[:1]
 	filled.Snapshot.Endpoints = filled.Snapshot.Endpoints[:1]
 	filled.Snapshot.Objects = filled.Snapshot.Objects[:1]
+	filled.RequestIDs = []string{"00000000000000aa"} // not in the files: the releases that wrote them had no such key
 	golden.Nonzero(t, filled)
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -5,7 +5,8 @@
 // connects to it (FindPredecessor). The successor sends TAKE when it starts, and the predecessor answers with its
 // position in the event log of discovery. The successor sends READY when it is about to accept clients, and the
 // predecessor answers with its State. From then on the predecessor may shut down. The connection stays open while both
-// processes run, so that each process notices the end of the other.
+// processes run, so that each process notices the end of the other. A successor that knows of it sends FOLLOW then, and the
+// predecessor answers with SENT for each further request that must not run again.
 //
 // The two processes may be of different releases. A change of the messages or their content needs another version.
 package handover
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,10 +31,17 @@
 		CachedAtHome: true, ServiceTime: 0.5}}}}
 
 // fakeProcess is a process that a successor may take over from.
-type fakeProcess struct{ stages chan SuccessorStage }
+type fakeProcess struct {
+	stages     chan SuccessorStage
+	requestIDs []string // of its state
+}
 
-func (process *fakeProcess) DiscoveryPosition() int64              { return testState.DiscoveryPosition }
-func (process *fakeProcess) State() State                          { return testState }
+func (process *fakeProcess) DiscoveryPosition() int64 { return testState.DiscoveryPosition }
+func (process *fakeProcess) State() State {
+	state := testState
+	state.RequestIDs = process.requestIDs
+	return state
+}
 func (process *fakeProcess) SuccessorChanged(stage SuccessorStage) { process.stages <- stage }
 
 // expectStage waits for the next call of SuccessorChanged, and checks its stage.
@@ -88,6 +96,57 @@
 	process.expectStage(t, SuccessorReady)
 }
 
+// A successor is told of each request that its predecessor sends after it has exported its state: those before FOLLOW, and those after
+// it, in their order and each once. At most maxPendingIDs wait for FOLLOW.
+func TestSuccessorIsToldOfLaterRequests(t *testing.T) {
+	process, path := &fakeProcess{stages: make(chan SuccessorStage, 10), requestIDs: []string{"earlier"}}, filepath.Join(t.TempDir(), "s")
+	listener, err := ListenForSuccessor(path, process, testLimits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(listener.Close)
+	p := find(t, path)
+	listener.RequestSent("before READY") // is part of the state, which a real process exports later
+	s, err := p.AnnounceReady()
+	if err != nil || !reflect.DeepEqual(s.RequestIDs, process.requestIDs) {
+		t.Fatalf("ids %v, %v; want %v", s.RequestIDs, err, process.requestIDs)
+	}
+	for i := range maxPendingIDs + 2 {
+		listener.RequestSent(strconv.Itoa(i))
+	}
+	ids := make(chan string, 2*maxPendingIDs)
+	if err := p.Follow(func(id string) { ids <- id }); err != nil {
+		t.Fatal(err)
+	}
+	for i := 2; i < maxPendingIDs+2; i++ {
+		expectID(t, ids, strconv.Itoa(i))
+	}
+	listener.RequestSent("later")
+	expectID(t, ids, "later")
+}
+
+func expectID(t *testing.T, ids <-chan string, want string) {
+	t.Helper()
+	select {
+	case got := <-ids:
+		if got != want {
+			t.Fatalf("told of %q, want %q", got, want)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatalf("not told of %q", want)
+	}
+}
+
+// A predecessor of an earlier release hands over no ids, and is not asked for later ones: it would end the connection.
+func TestStateOfEarlierReleaseHasNoRequestIDs(t *testing.T) {
+	for name, want := range map[string][]string{`{"pos":1}`: nil, `{"pos":1,"requests":[]}`: {}, `{"pos":1,"requests":["a"]}`: {"a"}} {
+		s, err := decode([]byte(name))
+		if err != nil || !reflect.DeepEqual(s.RequestIDs, want) {
+			t.Errorf("%s: ids %#v, %v; want %#v", name, s.RequestIDs, err, want)
+		}
+	}
+}
+
 // After the end of a successor, another successor can connect to the predecessor, even if the first one had listened on
 // the path in place of the predecessor.
 func TestSuccessorThatEndsCanBeReplaced(t *testing.T) {
--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -22,12 +22,14 @@
 	closed    bool // Close was called; no socket is opened any more
 	connected int  // number of connected successors
 	ready     int  // number of connected successors that are ready
+
+	readySuccessors map[*successor]bool // those that have sent READY
 }
 
 // ListenForSuccessor listens on a path, and replaces the process that listened there before. The caller closes the
 // listener.
 func ListenForSuccessor(path string, process Process, limits config.Limits) (*SuccessorListener, error) {
-	l := &SuccessorListener{path: path, limits: limits, process: process}
+	l := &SuccessorListener{path: path, limits: limits, process: process, readySuccessors: map[*successor]bool{}}
 	return l, l.open()
 }
 
@@ -78,6 +80,27 @@
 	})
 }
 
+// RequestSent passes the id of a request that this process sends to all successors that have taken over. It never blocks.
+func (l *SuccessorListener) RequestSent(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range l.readySuccessors {
+		s.sent.add(s.conn, id)
+	}
+}
+
+func (l *SuccessorListener) addReady(s *successor) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readySuccessors[s] = true
+}
+
+func (l *SuccessorListener) removeReady(s *successor) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.readySuccessors, s)
+}
+
 // Close stops accepting successors, and closes the connections to the present ones. It returns when all goroutines of the
 // listener have ended.
 func (l *SuccessorListener) Close() {
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -16,6 +16,10 @@
 	kindAt    = "AT"    // the answer to TAKE: the predecessor's position in the event log of discovery
 	kindReady = "READY" // the successor is about to accept clients
 	kindState = "STATE" // the answer to READY: the predecessor's State
+
+	// These are sent only if the predecessor's State has RequestIDs, as those of earlier releases have not.
+	kindFollow = "FOLLOW" // the successor is to be sent the ids of later requests
+	kindSent   = "SENT"   // the predecessor has sent a request, whose id is the body
 )
 
 var (
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"hillknot/internal/config"
@@ -21,6 +22,8 @@
 	ended     chan struct{} // closed when the connection ends
 	positions chan []byte   // receives the answer to TAKE, once
 	states    chan []byte   // receives the answer to READY, once
+
+	requestSent atomic.Pointer[func(id string)] // is called with the id of each request that the predecessor sends; nil: Follow was not called
 }
 
 // FindPredecessor connects to the process that listens on a path. It returns nil if there is no such process, or if it
@@ -69,6 +72,13 @@
 	return s, nil
 }
 
+// Follow has requestSent called with the id of each request of the predecessor that may do harm if it runs twice, and that is sent
+// after the state was exported. It may be called once, after AnnounceReady, if the state has RequestIDs.
+func (p *Predecessor) Follow(requestSent func(id string)) error {
+	p.requestSent.Store(&requestSent)
+	return p.conn.Send(appendMessage(nil, kindFollow, nil))
+}
+
 // Close closes the connection, by which the predecessor notices that this process has ended or does not take over.
 func (p *Predecessor) Close() { p.conn.Close() }
 
@@ -113,6 +123,13 @@
 		answers = p.positions
 	case kindState:
 		answers = p.states
+	case kindSent:
+		requestSent := p.requestSent.Load()
+		if requestSent == nil {
+			return errMalformed
+		}
+		(*requestSent)(string(m.body))
+		return nil
 	default:
 		return errMalformed
 	}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -14,9 +14,12 @@
 type State struct {
 	DiscoveryPosition int64 // position in the event log of discovery
 	Snapshot          balancer.Snapshot
+	// RequestIDs are the ids of recent requests that may have run, where a second run may do harm. nil: the predecessor is of an
+	// earlier release, which does not hand them over.
+	RequestIDs []string
 }
 
-// A State is encoded as JSON. Each list of a Snapshot is one array of integers, in which the rows follow each other. Ids
+// A State is encoded as JSON. Processes of other releases pass over keys that they do not know. Each list of a Snapshot is one array of integers, in which the rows follow each other. Ids
 // are encoded as they are, times in nanoseconds, and fractional numbers, such as shares and seconds, in billionths. The
 // order of the columns must not change, as processes of other releases read it.
 
@@ -32,6 +35,7 @@
 	encodeRows(&e, "loads", s.Snapshot.Loads, loadRow)
 	encodeRows(&e, "objects", s.Snapshot.Objects, objectRow)
 	e.setClasses("classes", s.Snapshot.Classes)
+	e.setStrings("requests", s.RequestIDs)
 	return e.object.MarshalTo(nil)
 }
 
@@ -58,6 +62,18 @@
 	e.object.Set(key, list)
 }
 
+// setStrings sets a key to a list, unless the list is nil.
+func (e *encoder) setStrings(key string, items []string) {
+	if items == nil {
+		return
+	}
+	list := e.arena.NewArray()
+	for i, item := range items {
+		list.SetArrayItem(i, e.arena.NewString(item))
+	}
+	e.object.Set(key, list)
+}
+
 // encodeRows sets a key to a list. toRow returns the numbers of the row of an item.
 func encodeRows[T any](e *encoder, key string, items []T, toRow func(T) []int64) {
 	list := e.arena.NewArray()
@@ -88,6 +104,9 @@
 		s.Snapshot.Classes = append(s.Snapshot.Classes,
 			balancer.ClassSnapshot{Name: class.String("name", ""), ServiceTime: fromBillionths(class.Int("work", 0))})
 	}
+	if object.Has("requests") {
+		s.RequestIDs = append([]string{}, object.Strings("requests")...)
+	}
 	return s, object.Err()
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -23,6 +23,7 @@
 	Post(f func())
 	Permit(a *core.Attempt) (balancer.Status, balancer.Detail)
 	PermitIsCurrent() bool
+	BeginWrite(a *core.Attempt)
 	AcquireSendPermission(a *core.Attempt) bool
 	CompleteAttempt(a *core.Attempt, result core.AttemptResult)
 	AttemptWritten(a *core.Attempt)
@@ -162,6 +163,7 @@
 		if !cl.core.AcquireSendPermission(a) { // another router must know of the attempt first; the core sends it again then
 			return
 		}
+		cl.core.BeginWrite(a)
 		c.awaited.add(a.Request.Txn) // the response may be read before the write returns
 		if err = c.transport.WriteSyncIf(cl.core.PermitIsCurrent, appendRequest(nil, a)); err != nil {
 			c.awaited.remove(a.Request.Txn)
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -34,6 +34,8 @@
 func (h *harness) AcquireSendPermission(*core.Attempt) bool { return true }
 func (h *harness) AttemptWritten(*core.Attempt)             { h.written.Add(1) }
 
+func (h *harness) BeginWrite(*core.Attempt) {}
+
 // PermitIsCurrent implements Core. Each permit is outdated for the first outdatedPermits calls, as after stops of the process.
 func (h *harness) PermitIsCurrent() bool {
 	h.outdatedPermits--
