netio: accept all that wait in a round, and handle nothing of a client that has left

Cause: netpoll accepts one connection in a round over all that are ready, 60 a second here; and what is read is passed on though the end of the connection is behind it.

Change: Accept takes up to 32 connections and sets each up itself (Server.adopt); netpoll's own path for them is gone. PeerClosed asks the system for the end behind unread input, before a client's input is handled and, for requests older than 50 ms, before each attempt (core.Permit). The floods judge a client with a connection for each request, and attempts after a close.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -69,7 +69,7 @@
 	now := c.clock()
 	r := a.owner
 	switch {
-	case a.done || now >= a.deadline:
+	case a.done || now >= a.deadline || r.clientHasGone(now):
 		return balancer.NotSent, balancer.NoDetail
 	case a.Endpoint.State != balancer.InService || a.Endpoint.placement != a.placement:
 		return balancer.ConnectFailed, balancer.NoDetail
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -45,6 +45,15 @@
 // retryIsHarmless reports whether the client may be told that a retry does no harm, given the attempts sent so far.
 func (r *request) retryIsHarmless() bool { return !r.policy.nonIdempotent() || !r.mayHaveRun }
 
+// clientGoneCheckAge is the age from which on an attempt of a request is only sent if its client is still there. The end of a
+// connection that is read late cancels its requests late. What was just read was sent by a client that was there.
+const clientGoneCheckAge = 50 * time.Millisecond
+
+// clientHasGone reports whether the client has left and the request is not cancelled yet.
+func (r *request) clientHasGone(now time.Duration) bool {
+	return r.ClientGone != nil && now-r.acceptedAt > clientGoneCheckAge && r.ClientGone()
+}
+
 // checkRepeat decides whether an attempt at an endpoint may follow at the given time, by the module's rule.
 func (r *request) checkRepeat(e *Endpoint, now time.Duration) balancer.RepeatVerdict {
 	if !r.mayHaveRun {
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -54,6 +54,10 @@
 
 // Consume implements netio.Handler.
 func (c *conn) Consume(buf []byte) (used, needed int, err error) {
+	if c.transport.PeerClosed() { // nothing is owed for what a client sent before it left
+		c.transport.Close()
+		return len(buf), 0, nil
+	}
 	defer c.sendRefusals()
 	for {
 		m, progress, err := rpc.ParseMessage(buf[used:], c.server.limits.MessageBytes)
@@ -131,6 +135,7 @@
 	}
 	request, code := c.server.newRequest(m)
 	request.ArrivedAt = c.server.core.EarliestArrival()
+	request.ClientGone = c.transport.PeerClosed
 	c.server.core.Post(func() { c.submit(ticket, request, code) })
 	return nil
 }
--- a/internal/netio/accept.go
+++ b/internal/netio/accept.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hillknot/internal/logging"
 )
 
@@ -37,6 +39,9 @@
 	mu     sync.Mutex // held while fd is used or closed
 	closed bool       // fd no longer belongs to this listener
 
+	// adopt takes over an accepted connection.
+	adopt func(acceptedConn)
+
 	// holdOff reports whether new connections should wait in the queue of the socket until evicted connections have
 	// closed. onResourcesExhausted is called when the process or the machine lacks the resources for a connection.
 	// Both may be nil.
@@ -44,6 +49,10 @@
 	onResourcesExhausted func()
 }
 
+// maxAcceptsPerRound is how many connections Accept takes from the queue of the socket. Netpoll calls it once in a round over all
+// connections that are ready: while many of them send without pause, a new client would wait for a round for each one before it.
+const maxAcceptsPerRound = 32
+
 // maxAcceptFailures is the number of consecutive failed calls of accept(2) at which the listener pauses even though the
 // cause is the connection or the network, such as a peer that has left the queue.
 const maxAcceptFailures = 16
@@ -84,28 +93,53 @@
 // Fd implements netpoll.Listener.
 func (l *pausableListener) Fd() int { return l.fd }
 
-// Accept implements net.Listener as netpoll requires: it returns nil and no error if no connection is waiting. Netpoll
-// removes a listener from its poller if the text of the error contains "closed".
+// Accept implements net.Listener as netpoll requires. It passes the connections that wait to adopt, so that netpoll gets none: it
+// returns nil and no error. Netpoll removes a listener from its poller if the text of the error contains "closed".
 func (l *pausableListener) Accept() (net.Conn, error) {
-	if l.state.load() != accepting {
-		return nil, net.ErrClosed
+	for accepted := range maxAcceptsPerRound {
+		if l.state.load() != accepting {
+			return nil, net.ErrClosed
+		}
+		if accepted > 0 && !l.hasWaiting() { // holdOff may only be asked for a connection that waits
+			return nil, nil
+		}
+		if l.holdOff != nil && l.holdOff() {
+			runtime.Gosched() // lets the goroutines run that close connections
+			return nil, nil
+		}
+		if err := l.acceptOne(); err != nil {
+			return nil, l.handleAcceptError(err)
+		}
+		l.failures.Store(0)
+		l.pausesInRow.Store(0)
 	}
-	if l.holdOff != nil && l.holdOff() {
-		runtime.Gosched() // lets the goroutines run that close connections
-		return nil, nil
+	return nil, nil
+}
+
+// hasWaiting reports whether a connection waits in the queue of the socket. If the system can't tell, none is assumed.
+func (l *pausableListener) hasWaiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
 	}
-	l.setup.Add(1) // until Server.onPrepare knows the connection
+	ready, err := unix.Poll([]unix.PollFd{{Fd: int32(l.fd), Events: unix.POLLIN}}, 0)
+	return err == nil && ready > 0
+}
+
+// acceptOne accepts a connection and passes it to adopt.
+func (l *pausableListener) acceptOne() error {
+	l.setup.Add(1) // until the server knows the connection
+	defer l.setup.Add(-1)
 	fd, peer, err := l.acceptUnlessClosed()
 	if err != nil {
-		l.setup.Add(-1)
-		return nil, l.handleAcceptError(err)
+		return err
 	}
-	l.failures.Store(0)
-	l.pausesInRow.Store(0)
 	if l.tcp {
 		_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // the connection works without it, but slower
 	}
-	return acceptedConn{fd: fd, local: l.Addr(), remote: peerAddr(peer)}, nil
+	l.adopt(acceptedConn{fd: fd, remote: peerAddr(peer)})
+	return nil
 }
 
 // isAccepting reports whether a connection has left the queue of the socket and is not known to its server yet.
@@ -194,19 +228,8 @@
 	return unknownCause
 }
 
-// acceptedConn is an accepted connection as netpoll takes it over. It implements only the methods that netpoll calls,
-// which return the descriptor and the addresses; net.Conn is nil.
+// acceptedConn is an accepted connection.
 type acceptedConn struct {
-	net.Conn
-	fd            int
-	local, remote net.Addr
+	fd     int
+	remote net.Addr
 }
-
-// Fd implements netpoll.Conn.
-func (a acceptedConn) Fd() int { return a.fd }
-
-// LocalAddr implements net.Conn.
-func (a acceptedConn) LocalAddr() net.Addr { return a.local }
-
-// RemoteAddr implements net.Conn.
-func (a acceptedConn) RemoteAddr() net.Addr { return a.remote }
--- a/internal/netio/accept_test.go
+++ b/internal/netio/accept_test.go
@@ -104,3 +104,68 @@
 		t.Error("ListenInherited accepted a descriptor that is not open")
 	}
 }
+
+// One call of Accept takes all connections that wait, in their order: the poller makes one call in a round over all connections that
+// are ready, so beside a flood new clients once waited for a round each.
+func TestAcceptTakesAllWaitingConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := newPausableListener(ln)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var adopted []acceptedConn
+	listener.adopt = func(c acceptedConn) { adopted = append(adopted, c) }
+	t.Cleanup(func() {
+		for _, c := range adopted {
+			syscall.Close(c.fd)
+		}
+	})
+	var clients []net.Conn
+	for range maxAcceptsPerRound + 1 {
+		clients = append(clients, dial(t, ln.Addr().String()))
+	}
+	for _, want := range []int{maxAcceptsPerRound, maxAcceptsPerRound + 1, maxAcceptsPerRound + 1} {
+		if conn, err := listener.Accept(); conn != nil || err != nil {
+			t.Fatalf("Accept returned %v, %v", conn, err)
+		}
+		if len(adopted) != want {
+			t.Fatalf("%d connections are accepted, want %d", len(adopted), want)
+		}
+	}
+	for i, client := range clients {
+		if got := adopted[i].remote.String(); got != client.LocalAddr().String() {
+			t.Errorf("connection %d is that of %s, want %s", i, got, client.LocalAddr())
+		}
+	}
+}
+
+// PeerClosed notices a close and a reset of the peer behind bytes that are not read yet.
+func TestPeerClosedIsNoticedBehindUnreadInput(t *testing.T) {
+	for name, leave := range map[string]func(net.Conn){
+		"close": func(nc net.Conn) { nc.Close() },
+		"half":  func(nc net.Conn) { _ = nc.(*net.TCPConn).CloseWrite() },
+		"reset": func(nc net.Conn) { _ = nc.(*net.TCPConn).SetLinger(0); nc.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, nc, g := newGatedPair(t, testLimits)
+			write(t, nc, "one\n")
+			<-g.received // the poller waits for the handler
+			if g.c.PeerClosed() {
+				t.Error("the peer counts as closed while it is there")
+			}
+			write(t, nc, "two\n")
+			leave(nc)
+			for end := time.Now().Add(10 * time.Second); !g.c.PeerClosed(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the end of the peer is not noticed")
+				}
+			}
+			g.release <- true
+			close(g.release) // what may follow is consumed at once
+		})
+	}
+}
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -53,6 +53,7 @@
 // connection on which Send is used.
 type Conn struct {
 	transport netpoll.Connection
+	remote    net.Addr // the peer's address
 	handler   Handler
 	limits    config.ConnLimits
 	budget    *Budget
@@ -110,7 +111,7 @@
 }
 
 // RemoteAddr returns the peer's address.
-func (c *Conn) RemoteAddr() net.Addr { return c.transport.RemoteAddr() }
+func (c *Conn) RemoteAddr() net.Addr { return c.remote }
 
 // AddPendingReplies adds n to the number of replies that the handler still has to give. The handler passes a negative n
 // after it has given replies. A connection without pending replies may be closed as idle or evicted; one on which
@@ -152,6 +153,17 @@
 	return err == nil && unread > 0
 }
 
+// PeerClosed reports whether the peer has closed its side or reset the connection, even if what it sent before is not read yet. If
+// the system can't tell, it is assumed that the peer is there.
+func (c *Conn) PeerClosed() bool {
+	fd, ok := c.socket()
+	if !ok {
+		return true
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && (info.State == tcpClosed || endOfStream(info) > 0)
+}
+
 // endOfStream returns how much the end of the peer's stream adds to the received bytes that the system reports.
 func endOfStream(info *unix.TCPInfo) uint64 {
 	switch info.State {
@@ -161,9 +173,10 @@
 	return 0
 }
 
-// States of a TCP connection in which the peer's stream has ended, as the system numbers them.
+// States of a TCP connection in which the peer's stream has ended, as the system numbers them; in tcpClosed it may have been reset.
 const (
 	tcpTimeWait  = 6
+	tcpClosed    = 7
 	tcpCloseWait = 8
 	tcpLastAck   = 9
 	tcpClosing   = 11
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -36,6 +36,7 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	c := newConn(transport, limits, budget)
+	c.remote = transport.RemoteAddr()
 	if fd, ok := c.socket(); ok && limits.ReceiveBuffer > 0 {
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, limits.ReceiveBuffer) // the default size serves too
 	}
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"hillknot/internal/clock"
 	"hillknot/internal/config"
@@ -48,10 +49,6 @@
 	serverClosed                       // Close was called
 )
 
-// connKey is the key of a *Conn in the netpoll context of its connection. The context of a rejected connection has no
-// such key.
-type connKey struct{}
-
 // Listen opens a listener on an address with a port, or on the path of a Unix socket. At most maxConns connections are
 // open at a time: beyond that, a new connection replaces one without pending replies, and is closed immediately if there
 // is none.
@@ -90,6 +87,7 @@
 	}
 	s := &Server{listener: listener, limits: limits, budget: budget, newHandler: newHandler,
 		closing: make(chan struct{}), served: make(chan struct{})}
+	listener.adopt = s.adopt
 	listener.holdOff = s.shouldHoldOff
 	listener.onResourcesExhausted = func() { s.evict(rankIdle) }
 	s.SetMaxConns(maxConns)
@@ -101,7 +99,7 @@
 }
 
 func (s *Server) newLoop() (netpoll.EventLoop, error) {
-	return netpoll.NewEventLoop(s.onRequest, netpoll.WithOnPrepare(s.onPrepare), netpoll.WithOnConnect(s.onConnect))
+	return netpoll.NewEventLoop(ignoreInput)
 }
 
 // Addr returns the address that the server listens on.
@@ -263,14 +261,20 @@
 	s.conns.Range(func(key, _ any) bool { return f(key.(*Conn)) })
 }
 
-// onPrepare is netpoll's callback for a new connection that is not registered yet. It acquires a slot for the connection
-// and creates its Conn.
-func (s *Server) onPrepare(transport netpoll.Connection) context.Context {
-	defer s.listener.setup.Add(-1)
+// adopt sets up an accepted connection. The poller calls it, so nothing is read from the connection before adopt returns.
+func (s *Server) adopt(accepted acceptedConn) {
 	if !s.acquireSlot() {
-		return context.Background() // onConnect closes the connection: netpoll has not set it up yet
+		_ = unix.Close(accepted.fd) // the peer sees its rejection as a close
+		return
+	}
+	transport, err := netpoll.NewFDConnection(accepted.fd)
+	if err != nil { // the poller could not register the connection, and netpoll has closed it
+		s.slots.open.Add(-1)
+		return
 	}
 	c := newConn(transport, s.limits, s.budget)
+	c.remote = accepted.remote
+	defer c.recoverAndClose()
 	c.handler = s.newHandler(c)
 	s.conns.Store(c, nil)
 	_ = transport.AddCloseCallback(func(transport netpoll.Connection) error { // fails only for a nil callback
@@ -278,28 +282,12 @@
 		s.conns.Delete(c)
 		return c.transportClosed(transport)
 	})
-	return context.WithValue(context.Background(), connKey{}, c)
-}
-
-// onConnect is netpoll's callback for a new connection that is ready for use. It closes rejected connections.
-func (s *Server) onConnect(ctx context.Context, transport netpoll.Connection) context.Context {
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	if !ok {
-		_ = transport.Close() // the peer sees its rejection as a close
-		return ctx
-	}
 	c.open()
 	if h, ok := c.handler.(OpenHandler); ok {
 		h.Opened()
 	}
-	return ctx
+	_ = transport.SetOnRequest(c.read) // fails never
 }
 
-// onRequest is netpoll's callback for input.
-func (s *Server) onRequest(ctx context.Context, transport netpoll.Connection) error {
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	if !ok {
-		return transport.Close()
-	}
-	return c.read(ctx, transport)
-}
+// ignoreInput is the callback of an event loop for input. Its connections have callbacks of their own, see adopt.
+func ignoreInput(context.Context, netpoll.Connection) error { return nil }
--- a/internal/netio/shutdown_test.go
+++ b/internal/netio/shutdown_test.go
@@ -94,6 +94,9 @@
 	s := serve(t, 100, lingeringLimits(), newLineEcho)
 	half, endless := dial(t, s.Addr().String()), dial(t, s.Addr().String())
 	write(t, half, "half")
+	for s.OpenConns() < 2 {
+		time.Sleep(time.Millisecond)
+	}
 	stop, stopped := make(chan bool), make(chan bool)
 	go func() {
 		defer close(stopped)
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -36,8 +36,8 @@
 // not be run.
 func MeasureFloods(settings FloodSettings, out io.Writer) error {
 	_, _ = fmt.Fprintln(out,
-		"| flood | peak MB | descriptors | goroutines | steady client: sent, served, refused, failed | late | lost | flood: sent, answered, lost | end after SIGTERM | broken |\n"+
-			"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		"| flood | peak MB | descriptors | goroutines | steady client: sent, served, refused, failed | late | lost | new connections: sent, answered, late, unanswered | longest | flood: sent, answered, lost | end after SIGTERM | broken |\n"+
+			"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	broken := 0
 	for _, name := range settings.Kinds {
 		kind, err := floodKindNamed(name)
@@ -63,8 +63,10 @@
 	use            resourceUse
 	goroutines     int
 	steady         steadyResult
+	newConns       newConnResult // until the router is told to end
 	flood          floodCounts
 	mayLoseAnswers bool // requests of the flood may be lost
+	lateAttempts   int  // over maxAttemptAfterClose after the close of their client
 	endedAfter     time.Duration
 	endError       error // how the process ended; nil: with exit status 0
 	endedInTime    bool
@@ -83,8 +85,11 @@
 	add(r.steady.lost > 0 || r.steady.answeredTwice > 0,
 		"steady client without exactly one answer: "+strings.Join(r.steady.lostDetails, ", "))
 	add(r.steady.answered() == 0, "steady client never answered")
+	add(r.newConns.late > 0, "late answers on new connections")
+	add(r.newConns.answered == 0, "no answers on new connections")
 	add(!r.mayLoseAnswers && r.flood.lost > 0, "requests of the flood without an answer")
 	add(r.flood.answeredTwice > 0, "requests of the flood answered twice")
+	add(r.lateAttempts > 0, fmt.Sprintf("%d attempts over %v after their client's close", r.lateAttempts, maxAttemptAfterClose))
 	add(!r.endedInTime, "did not end in time")
 	add(r.endError != nil, fmt.Sprintf("ended with: %v", r.endError))
 	return faults
@@ -92,8 +97,10 @@
 
 // cells formats the result as cells of a table.
 func (r *floodResult) cells() string {
-	return fmt.Sprintf("%.0f | %d | %d | %d, %d, %d, %d | %d | %d | %d, %d, %d | %v", r.use.memoryMB, r.use.descriptors, r.goroutines,
+	return fmt.Sprintf("%.0f | %d | %d | %d, %d, %d, %d | %d | %d | %d, %d, %d, %d | %v | %d, %d, %d | %v",
+		r.use.memoryMB, r.use.descriptors, r.goroutines,
 		r.steady.sent, r.steady.served, r.steady.refused, r.steady.failed, r.steady.late, r.steady.lost,
+		r.newConns.sent, r.newConns.answered, r.newConns.late, r.newConns.unanswered, r.newConns.longest.Round(time.Millisecond),
 		r.flood.sent, r.flood.answered, r.flood.lost, r.endedAfter.Round(time.Millisecond))
 }
 
@@ -134,10 +141,11 @@
 	monitor := startProcessMonitor(run.router.process.Process.Pid, sampleInterval)
 	goroutines := startGoroutineMonitor(run.router, goroutineSampleInterval)
 	steady := startSteadyClient(run.router.ListenAddress)
+	newConns := startNewConnClient(run.router.ListenAddress)
 	flood := kind.start(run)
 	time.Sleep(settings.Length)
 
-	result := &floodResult{mayLoseAnswers: kind.mayLoseAnswers}
+	result := &floodResult{mayLoseAnswers: kind.mayLoseAnswers, newConns: newConns.stop()}
 	time.AfterFunc(floodConnectTime, steady.stopConnecting)
 	result.end(run)
 	close(run.stop)
@@ -145,6 +153,7 @@
 	result.steady = steady.stop()
 	result.goroutines = goroutines.stop()
 	result.flood = run.counts.read()
+	result.lateAttempts = peers.lateAttempts()
 	result.use, err = monitor.finish()
 	return result, err
 }
--- a/loadtest/flood_test.go
+++ b/loadtest/flood_test.go
@@ -27,7 +27,7 @@
 
 // Clients that send without waiting for answers, whether they read them or not.
 func TestClientFloodsDoNotFillMemory(t *testing.T) {
-	checkFloods(t, "one-client", "clients", "clients-unread", "bodies", "bodies-unread", "health-checks", "cancels", "churn")
+	checkFloods(t, "one-client", "clients", "clients-unread", "bodies", "bodies-unread", "health-checks", "cancels", "churn", "leavers")
 }
 
 // Clients that keep to the protocol, with large requests, and a router that is stopped now and then.
--- a/loadtest/floodkinds.go
+++ b/loadtest/floodkinds.go
@@ -28,6 +28,8 @@
 	{name: "health-checks", start: startFloodClients(40, healthRequests, true)},
 	{name: "cancels", mayLoseAnswers: true, start: startFloodClients(40, cancelNotifications, true)},
 	{name: "half-messages", mayLoseAnswers: true, start: startHalfMessages(100)},
+	{name: "leavers", start: withLeavers(startFloodClients(40, healthRequests, true))},
+	{name: "leavers-bodies", start: withLeavers(startFloodClients(40, bodyRequests, true))},
 	{name: "churn", mayLoseAnswers: true, start: startChurn(20)},
 	{name: "stopped", start: startStoppedLoad(80)},
 	{name: "discovery-events", discovery: purgeEvents, start: startNothing},
--- a/loadtest/floodpeers.go
+++ b/loadtest/floodpeers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"hillknot/internal/testutil/fakes"
 )
@@ -23,16 +24,46 @@
 	answering []*fakes.Cache // page caches that answer; those in caches relay to them
 
 	mu       sync.Mutex
-	position int // of the latest event
+	position int                  // of the latest event
+	leftAt   map[string]time.Time // by txn: when the client of a request has closed its connection
+	late     int                  // attempts for such requests that came over maxAttemptAfterClose later
+}
+
+// maxAttemptAfterClose is how long after a client's close an attempt for one of its requests may still be sent.
+const maxAttemptAfterClose = 100 * time.Millisecond
+
+// answer answers a request as a page cache.
+func (p *floodPeers) answer(request fakes.Request) fakes.Reply {
+	now := time.Now()
+	p.mu.Lock()
+	if left, found := p.leftAt[request.ID]; found && now.Sub(left) > maxAttemptAfterClose {
+		p.late++
+	}
+	p.mu.Unlock()
+	return fakes.Reply{Status: "DONE", Fields: "res=cached", Body: []byte("body")}
+}
+
+// noteLeft records that the client of requests has closed its connection.
+func (p *floodPeers) noteLeft(at time.Time, txns []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, txn := range txns {
+		p.leftAt[objectName(txn)] = at
+	}
+}
+
+// lateAttempts returns how many attempts came too late after a client's close.
+func (p *floodPeers) lateAttempts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.late
 }
 
 // startFloodPeers starts the peers. A nil stream stands for a peer that behaves well.
 func startFloodPeers(discovery, cache floodStream) (*floodPeers, error) {
-	p := &floodPeers{position: 1}
+	p := &floodPeers{position: 1, leftAt: map[string]time.Time{}}
 	for range floodCaches + 1 {
-		answering, err := fakes.NewCache("127.0.0.1:0", func(fakes.Request) fakes.Reply {
-			return fakes.Reply{Status: "DONE", Fields: "res=cached", Body: []byte("body")}
-		})
+		answering, err := fakes.NewCache("127.0.0.1:0", p.answer)
 		if err != nil {
 			p.Close()
 			return nil, err
