membership: bound what connections for gossip may hold, whoever opens them

Cause: memberlist reads 20 MB of each connection before it decrypts, of any number of connections, and each byte costs the one goroutine thread of the router.

Change: the transport hands on 16 connections at a time, 2 MB of each (twice the longest full state), 4 MB of all and 8 MB/s, and closes one that is over that; too many are closed one each 10 ms, the others wait in the socket's queue. Connections that this router opens have the same bounds. Wire forms are as they were.

--- a/internal/cluster/membership/memberlist.go
+++ b/internal/cluster/membership/memberlist.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -42,7 +43,7 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name = a.name
-	c.Transport = transport{network, listen.Addr()}
+	c.Transport = newTransport(network, listen.Addr())
 	c.Logger = logger
 	c.Keyring = a.keys.ring
 	c.Delegate = delegate{a}
@@ -61,27 +62,50 @@
 	c.EnableCompression = false
 	list, err := memberlist.Create(c)
 	if err != nil {
-		_ = network.Shutdown() // the error of Create is the one to report
+		_ = c.Transport.Shutdown() // the error of Create is the one to report
 		return nil, err
 	}
 	return list, nil
 }
 
 // transport connects to other routers from the address that it listens on. The peer can then identify the connecting
-// router by its address, also if the machine has several addresses.
+// router by its address, also if the machine has several addresses. It bounds what is received on connections.
 type transport struct {
 	*memberlist.NetTransport
-	local netip.Addr
+	local   netip.Addr
+	limits  streamLimits
+	streams chan net.Conn // that other routers have opened, bounded
+	stop    chan struct{} // closed by Shutdown
+	stopped sync.Once
+}
+
+func newTransport(network *memberlist.NetTransport, local netip.Addr) *transport {
+	t := &transport{NetTransport: network, local: local, streams: make(chan net.Conn, maxUnhandledStream), stop: make(chan struct{})}
+	go t.acceptStreams()
+	return t
+}
+
+// StreamCh implements memberlist.Transport.
+func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
+
+// Shutdown implements memberlist.Transport.
+func (t *transport) Shutdown() error {
+	t.stopped.Do(func() { close(t.stop) })
+	return t.NetTransport.Shutdown()
 }
 
 // DialTimeout implements memberlist.Transport.
-func (t transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(t.local, 0))}
-	return dialer.Dial("tcp", addr)
+	conn, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return t.limits.dialed(conn), nil
 }
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
-func (t transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	return t.DialTimeout(a.Addr, timeout)
 }
 
