discovery: an event of over 40,000 values is unreadable

Cause: a text that can't be split into instances is parsed in a single pass, which takes some twenty times the memory of very short fields, and leaves as much to be collected. The bound is counted before anything is allocated.

Without the bound TestEventOfTooManyFieldsIsUnreadable is red in 3 of 3 forms (they are read).

--- a/internal/discovery/parse.go
+++ b/internal/discovery/parse.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"errors"
+
 	"github.com/valyala/fastjson"
 
 	"hillknot/internal/jsonfields"
@@ -60,8 +62,29 @@
 	return e, nil
 }
 
+// maxValues is the maximum number of JSON values in a text that is parsed in a single pass. The values of very many short fields take
+// some twenty times the memory of their text, and far more until it is collected. The longest list that a service may send has
+// 3,200 instances of ten fields.
+const maxValues = 40_000
+
+// errTooManyValues is returned for a text with more than maxValues values.
+var errTooManyValues = errors.New("too many fields")
+
+// countValues returns at least the number of JSON values in a text.
+func countValues(text []byte) (count int) {
+	for _, c := range text {
+		if c == ',' || c == '[' || c == '{' {
+			count++
+		}
+	}
+	return count
+}
+
 // object parses one JSON object. It is valid until the next call.
 func (p *eventParser) object(text []byte) (jsonfields.Object, error) {
+	if len(text) > maxValues && countValues(text) > maxValues {
+		return jsonfields.Object{}, errTooManyValues
+	}
 	v, err := p.json.ParseBytes(text)
 	if err != nil {
 		return jsonfields.Object{}, err
--- a/internal/discovery/parse_test.go
+++ b/internal/discovery/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -108,3 +109,28 @@
 		}
 	}
 }
+
+// An event with very many short fields is unreadable, wherever they are: parsing it took over twenty times the memory of its text. The
+// longest list of page caches is read, also in a form that needs a single pass.
+func TestEventOfTooManyFieldsIsUnreadable(t *testing.T) {
+	fields := strings.Repeat(`"a":1,`, 64_000)
+	for name, text := range map[string]string{
+		"in the event":    `{` + fields + `"pos":1,"expire":{"set":1,"stamp":5}}`,
+		"in an instance":  `{"pos":1,"hosts":{"instances":[{` + fields + `"instanceId":"a","lifecycle":"ready"}]}}`,
+		"in the envelope": `{` + fields + `"pos":1,"hosts":{"instances":[{"instanceId":"a","lifecycle":"ready"}]}}`,
+	} {
+		if _, err := new(eventParser).parse([]byte(text)); !errors.Is(err, errTooManyValues) {
+			t.Errorf("%s: error %v, want %v", name, err, errTooManyValues)
+		}
+	}
+	const longest = 3200
+	text := largeEvent(t, rand.New(rand.NewPCG(1, 3)), longest)
+	text = []byte(strings.Replace(string(text), `"instances":[`, `"instances": [`, 1))
+	if _, _, ok := splitInstances(text); ok {
+		t.Fatal("the event needs no single pass")
+	}
+	e, err := new(eventParser).parse(text)
+	if err != nil || len(e.endpoints.updates) != longest {
+		t.Errorf("%d endpoints, error %v; want %d", len(e.endpoints.updates), err, longest)
+	}
+}
