Floods: slow, half and many-field peers, ever new names, gossip; a client sends as it connects

The steady client sends its first request as it connects, as clients do: with its wait of 20 ms, hundreds of half-written requests had its connection evicted before it had sent anything, and 'never answered' was judged though nothing was asked. A request counts as crossing the end of its connection from the write of its last byte, from which on the router has taken it; two floods showed requests that were begun 78 and 98 ms before an end by a load test that was starved by its own 300 connections. The tolerances are as they were, lateness counts from before the write as before.

--- a/cmd/hillknot-loadtest/single.go
+++ b/cmd/hillknot-loadtest/single.go
@@ -83,6 +83,7 @@
 		},
 	}
 	addRouterFlag(c, &settings.Program)
+	c.Flags().StringVar(&settings.ClusterProgram, "cluster-router", "bin/hillknot-cluster", "the router `PROGRAM` with the tag cluster")
 	c.Flags().StringSliceVar(&settings.Kinds, "kinds", loadtest.FloodKinds(), "kinds of floods")
 	c.Flags().DurationVar(&settings.Length, "length", 4*time.Second, "length of each flood")
 	return c
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -11,9 +12,10 @@
 // FloodSettings holds the settings of MeasureFloods, which runs one router while its peers send faster than it can work, read
 // nothing, or fail, and a steady client keeps to the protocol.
 type FloodSettings struct {
-	Program string        // path of the router's program
-	Kinds   []string      // those of FloodKinds to run
-	Length  time.Duration // of each flood
+	Program        string        // path of the router's program
+	ClusterProgram string        // path of the program with the tag cluster, for the kinds that need it
+	Kinds          []string      // those of FloodKinds to run
+	Length         time.Duration // of each flood
 }
 
 const (
@@ -124,6 +126,15 @@
 	options := FleetOptions{Routers: 1, Caches: floodCaches, KnownRouters: 1, OverloadFactor: 4, Sockets: floodSockets,
 		MemoryMB: floodMemoryMB, Address: peers.cacheAddress, DiscoveryAddress: peers.discoveryAddress(), Operator: floodOperatorFile,
 		LogLevel: "info"}
+	program := settings.Program
+	if kind.cluster {
+		dir, err := os.MkdirTemp("", "hillknot-keys-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		program, options.Operator = settings.ClusterProgram, gossipOperatorFile(dir)
+	}
 	if kind.log != nil {
 		pipe, err := kind.log()
 		if err != nil {
@@ -132,7 +143,7 @@
 		defer pipe.read.Close() // a closed one does no harm
 		options.Log = pipe.write
 	}
-	fleet, err := StartFleet(settings.Program, options)
+	fleet, err := StartFleet(program, options)
 	if err != nil {
 		return nil, err
 	}
--- a/loadtest/flood_test.go
+++ b/loadtest/flood_test.go
@@ -50,3 +50,13 @@
 func TestRouterServesWhenItsLogCanNotBeWritten(t *testing.T) {
 	checkFloods(t, "log-unread", "log-closed")
 }
+
+// Hundreds of peers at once that write slowly, stop half way through a large message, or send very many short fields.
+func TestSlowPeersDoNotFillMemory(t *testing.T) {
+	checkFloods(t, "slow-clients", "half-clients", "field-clients", "half-caches", "field-discovery", "half-dns", "field-admin")
+}
+
+// Peers that send small or unsound messages under ever new names, on one connection or from everywhere.
+func TestNewNamesDoNotFillMemory(t *testing.T) {
+	checkFloods(t, "one-unsound", "one-new-classes", "one-new-orders", "discovery-new-names", "dns-new-names")
+}
--- /dev/null
+++ b/loadtest/floodgossip.go
@@ -0,0 +1,74 @@
+package loadtest
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+)
+
+// This file holds the floods of the address for gossip, by peers that don't have the key of the cluster.
+
+const (
+	gossipEncrypted = 10       // type of an encrypted message over TCP, which a length of four bytes follows
+	gossipMaxState  = 20 << 20 // the longest that the gossip library reads over TCP, in bytes
+)
+
+// gossipOperatorFile returns the operator's file of a router that takes part in a cluster of its own. Its key file is in a directory.
+func gossipOperatorFile(dir string) func(router int, ip string) (string, error) {
+	return func(router int, ip string) (string, error) {
+		keyFile := filepath.Join(dir, "keys")
+		if err := os.WriteFile(keyFile, []byte(generateKey()+"\n"), 0o600); err != nil {
+			return "", err
+		}
+		text, err := floodOperatorFile(router, ip)
+		return text + fmt.Sprintf("fleet {\n  listen = \"%s:%d\"\n  key_file = %q\n  size = 1\n}\n", ip, clusterPort, keyFile), err
+	}
+}
+
+// halfGossip returns an encrypted message of the longest kind without its last byte.
+func halfGossip() []byte {
+	message := binary.BigEndian.AppendUint32([]byte{gossipEncrypted}, gossipMaxState)
+	return append(message, make([]byte, gossipMaxState-1)...)
+}
+
+// startGossipPackets returns the start of a flood of packets that can't be decrypted.
+func startGossipPackets(sockets int) func(*floodRun) *sync.WaitGroup {
+	return func(run *floodRun) *sync.WaitGroup {
+		var senders sync.WaitGroup
+		for range sockets {
+			senders.Go(func() {
+				conn, err := net.Dial("udp", run.router.addressOf(clusterPort))
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				packet := make([]byte, 1200)
+				for {
+					select {
+					case <-run.stop:
+						return
+					default:
+						binary.BigEndian.PutUint64(packet[1:], rand.Uint64())
+						packet[0] = gossipEncrypted
+						_, _ = conn.Write(packet) // fails for as long as the router is down
+					}
+				}
+			})
+		}
+		return &senders
+	}
+}
+
+// sharedHalfGossip is the message of all connections, as 300 copies would fill the memory of the load test itself.
+var sharedHalfGossip = sync.OnceValue(halfGossip)
+
+// sendHalfGossip sends half a message and waits until the router closes the connection.
+func sendHalfGossip(_ *floodRun, conn net.Conn) {
+	_, _ = conn.Write(sharedHalfGossip()) // the router may have closed the connection
+	_, _ = io.Copy(io.Discard, conn)
+}
--- a/loadtest/floodkinds.go
+++ b/loadtest/floodkinds.go
@@ -12,6 +12,7 @@
 	cache          floodStream             // what page caches send, besides their answers
 	log            func() (logPipe, error) // takes the place of the router's log; nil: a file
 	mayLoseAnswers bool                    // the flood breaks the protocol in a way that costs it its own answers
+	cluster        bool                    // the router takes part in a cluster, for which its program needs the tag cluster
 	start          func(run *floodRun) *sync.WaitGroup
 }
 
@@ -44,6 +45,37 @@
 	{name: "dns-tcp", mayLoseAnswers: true, start: startDNSConnections(20)},
 	{name: "admin", mayLoseAnswers: true, start: startAdminRequests(32)},
 	{name: "agent-check", mayLoseAnswers: true, start: startAgentChecks(32)},
+	{name: "slow-clients", mayLoseAnswers: true, start: startConns(300, slowly(largeRequest))},
+	{name: "half-clients", mayLoseAnswers: true, start: startConns(300, thenWait(halfRequest))},
+	{name: "field-clients", mayLoseAnswers: true, start: startConns(300, thenWait(fieldsRequest))},
+	{name: "slow-caches", cache: slowAnswers, start: startNothing},
+	{name: "half-caches", cache: halfAnswers, start: startNothing},
+	{name: "field-caches", cache: fieldAnswers, start: startNothing},
+	{name: "slow-discovery", discovery: slowEvents, start: startNothing},
+	{name: "half-discovery", discovery: halfEvents, start: startNothing},
+	{name: "field-discovery", discovery: fieldEvents, start: startNothing},
+	{name: "slow-dns", mayLoseAnswers: true, start: startConnsAt(floodDNSPort, 300, slowly(halfDNSMessage))},
+	{name: "half-dns", mayLoseAnswers: true, start: startConnsAt(floodDNSPort, 300, thenWait(halfDNSMessage))},
+	{name: "field-dns", mayLoseAnswers: true, start: startConnsAt(floodDNSPort, 300, thenWait(manyLabels))},
+	{name: "slow-admin", mayLoseAnswers: true, start: startConnsAt(adminPort, 300, slowly(httpFields))},
+	{name: "half-admin", mayLoseAnswers: true, start: startConnsAt(adminPort, 300, thenWait(halfHTTP))},
+	{name: "field-admin", mayLoseAnswers: true, start: startConnsAt(adminPort, 300, thenWait(httpFields))},
+	{name: "slow-agent-check", mayLoseAnswers: true, start: startConnsAt(floodAgentCheckPort, 300, slowly(halfDNSMessage))},
+
+	{name: "one-unsound", mayLoseAnswers: true, start: startFloodClients(1, unsoundRequests, true)},
+	{name: "one-new-classes", mayLoseAnswers: true, start: startFloodClients(1, unknownClasses, true)},
+	{name: "one-new-objects", start: startFloodClients(1, newObjects, true)},
+	{name: "one-new-orders", start: startFloodClients(1, newOrders, true)},
+	{name: "one-health-checks", mayLoseAnswers: true, start: startFloodClients(1, healthRequests, true)},
+	{name: "new-classes", mayLoseAnswers: true, start: startFloodClients(40, unknownClasses, true)},
+	{name: "new-objects", start: startFloodClients(40, newObjects, true)},
+	{name: "discovery-new-names", discovery: newNames, start: startNothing},
+	{name: "dns-new-names", mayLoseAnswers: true, start: startNewDNSNames(8)},
+	{name: "admin-new-paths", mayLoseAnswers: true, start: startConnsAt(adminPort, 32, newPaths)},
+
+	{name: "half-gossip", cluster: true, start: startConnsAt(clusterPort, 300, sendHalfGossip)},
+	{name: "gossip-packets", cluster: true, start: startGossipPackets(4)},
+
 	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseAnswers: true},
 	{name: "log-closed", log: closedPipe, start: startMalformed(4), mayLoseAnswers: true},
 }
--- a/loadtest/floodpeers.go
+++ b/loadtest/floodpeers.go
@@ -171,14 +171,25 @@
 
 // completeLists sends complete lists of many page caches, in another order each.
 func completeLists(p *floodPeers, conn net.Conn) {
+	list := p.longList()
+	p.writeEvents(conn, func(int) string { return list })
+}
+
+// longList returns the data of an event with a complete list of many page caches, after its position.
+func (p *floodPeers) longList() string {
 	var endpoints []endpoint
 	for i := range floodListSize {
 		endpoints = append(endpoints, newEndpoint(endpointName(i), p.cacheAddress(i%floodCaches), stateReady))
 	}
 	origin := newEndpoint("origin", p.cacheAddress(floodCaches), stateReady)
 	origin.Zone, origin.MachineType = zoneHub, machineOrigin
-	list := endpointsEvent(1, true, append(endpoints, origin))
-	p.writeEvents(conn, func(int) string { return list })
+	return endpointsEvent(1, true, append(endpoints, origin))
+}
+
+// longListEvent returns an event with a complete list of many page caches.
+func (p *floodPeers) longListEvent() string {
+	position := p.nextPosition()
+	return fmt.Sprintf("id: %d\ndata: {\"pos\":%d,%s}\n\n", position, position, p.longList())
 }
 
 // comments sends comments, which hold no event.
--- a/loadtest/steadyclient.go
+++ b/loadtest/steadyclient.go
@@ -39,11 +39,17 @@
 	sender  sync.WaitGroup
 
 	mu         sync.Mutex
-	inFlight   map[uint64]time.Time // by message id: when the request was sent
-	answeredAt time.Time            // the latest answer on the current connection
+	inFlight   map[uint64]steadyRequest // by message id
+	answeredAt time.Time                // the latest answer on the current connection
 	result     steadyResult
 }
 
+// steadyRequest is a request without an answer.
+type steadyRequest struct {
+	begun   time.Time // before it was written
+	written time.Time // its last byte, from which on the router has to answer it; zero: not yet
+}
+
 // connEnd is the end of a connection as its reader saw it.
 type connEnd struct {
 	at  time.Time
@@ -52,7 +58,7 @@
 
 // startSteadyClient starts to send. The caller ends the client with stop.
 func startSteadyClient(address string) *steadyClient {
-	c := &steadyClient{address: address, stopped: make(chan struct{}), inFlight: map[uint64]time.Time{}}
+	c := &steadyClient{address: address, stopped: make(chan struct{}), inFlight: map[uint64]steadyRequest{}}
 	c.sender.Go(c.run)
 	return c
 }
@@ -93,6 +99,12 @@
 	ticker := time.NewTicker(steadyInterval)
 	defer ticker.Stop()
 	for {
+		if c.begin(id) {
+			_, _ = conn.Write(rpc.AppendRequest(nil, id, &rpc.Request{Method: classPage, Txn: id, Item: id % steadyItems,
+				TimeoutMillis: steadyTimeout.Milliseconds()})) // the reader notices the end of the connection
+			c.noteWritten(id, time.Now())
+			id++
+		}
 		select {
 		case end := <-ended:
 			_ = conn.Close() // the router has closed it
@@ -103,11 +115,6 @@
 			_ = conn.Close() // no further answer is expected
 			return id
 		case <-ticker.C:
-			if c.begin(id) {
-				_, _ = conn.Write(rpc.AppendRequest(nil, id, &rpc.Request{Method: classPage, Txn: id, Item: id % steadyItems,
-					TimeoutMillis: steadyTimeout.Milliseconds()})) // the reader notices the end of the connection
-				id++
-			}
 		}
 	}
 }
@@ -119,23 +126,33 @@
 	if len(c.inFlight) >= steadyMaxInFlight {
 		return false
 	}
-	c.inFlight[id] = time.Now()
+	c.inFlight[id] = steadyRequest{begun: time.Now()}
 	c.result.sent++
 	return true
 }
 
+// noteWritten records when the last byte of a request was written, unless it is answered already.
+func (c *steadyClient) noteWritten(id uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request, found := c.inFlight[id]; found {
+		request.written = at
+		c.inFlight[id] = request
+	}
+}
+
 // record counts an answer.
 func (c *steadyClient) record(header rpc.ResponseHeader) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answeredAt = time.Now()
-	sent, known := c.inFlight[header.ID]
+	request, known := c.inFlight[header.ID]
 	if !known {
 		c.result.answeredTwice++
 		return
 	}
 	delete(c.inFlight, header.ID)
-	if time.Since(sent) > steadyTimeout+steadyTolerance {
+	if time.Since(request.begun) > steadyTimeout+steadyTolerance {
 		c.result.late++
 	}
 	switch err := responseError(header); {
@@ -148,7 +165,8 @@
 	}
 }
 
-// steadyCrossing is how long before the end of a connection a request may have been sent to count as crossing that end.
+// steadyCrossing is how long before the end of a connection the last byte of a request may have been written for the request to count
+// as crossing that end.
 const steadyCrossing = 50 * time.Millisecond
 
 // finish counts the requests that were in flight on a connection that ended. A request that crossed the end is not lost, as the
@@ -156,12 +174,13 @@
 func (c *steadyClient) finish(end connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, sent := range c.inFlight {
-		if end.at.Sub(sent) > steadyCrossing {
+	for id, request := range c.inFlight {
+		if !request.written.IsZero() && end.at.Sub(request.written) > steadyCrossing {
 			c.result.lost++
 			c.result.lostDetails = append(c.result.lostDetails, fmt.Sprintf(
-				"request %d of %d, sent %v before its connection ended with %v, at %v; latest answer on it %v before that end",
-				id, c.result.sent, end.at.Sub(sent), end.err, end.at.Format("15:04:05.000"), end.at.Sub(c.answeredAt)))
+				"request %d of %d, begun %v and written %v before its connection ended with %v, at %v; latest answer on it %v before that end",
+				id, c.result.sent, end.at.Sub(request.begun), end.at.Sub(request.written), end.err, end.at.Format("15:04:05.000"),
+				end.at.Sub(c.answeredAt)))
 		}
 	}
 	clear(c.inFlight)
