--- a/cmd/hillknot/main.go
+++ b/cmd/hillknot/main.go
@@ -19,7 +19,7 @@
 )
 
 // version is the version of the latest entry in CHANGELOG.md.
-const version = "0.16.1"
+const version = "0.16.2"
 
 // logFlushTimeout is the longest time for which the end of the process waits for its last log lines to be written.
 const logFlushTimeout = 100 * time.Millisecond
--- a/cmd/hillknot/replaced_endpoint_test.go
+++ b/cmd/hillknot/replaced_endpoint_test.go
@@ -38,54 +38,49 @@
 		for _, class := range []string{"order", "filed"} {
 			t.Run(class+", "+name, func(t *testing.T) {
 				inParallel(t)
-				r := newTestRouter(t, 1)
-				for _, profile := range r.config["settings"].(jsonMap)["profiles"].([]jsonMap) {
-					if profile["name"] == "filed" {
-						profile["group"] = "cell" // page caches of one cell drop repeats; the new one is in another cell
-					}
-				}
-				r.startProcess()
-				watch := r.acceptWatch("1")
-				client := r.dial()
-				client.request(1, class, map[string]string{"unique": fmt.Sprintf("%032x", 1)})
-				attempt := r.nextAttempt()
-				old := r.endpoints[0]
-				tell := func(next *fakeEndpoint) {
-					entry := old.listEntry("ready")
-					entry["instanceId"], entry["cell"] = next.id, 7
-					watch.sendEndpoints(2, false, old.listEntry("gone"), entry)
-				}
-				var next *fakeEndpoint
-				if toldFirst {
-					tell(&fakeEndpoint{id: "s-next"})
-					time.Sleep(100 * time.Millisecond) // the router has applied the list; it would be green without this, too
-					next = r.replaceProcess(old, []endpointMessage{attempt}, "s-next")
-				} else {
-					next = r.replaceProcess(old, []endpointMessage{attempt}, "s-next")
-					r.expectNoAttempt("before the router is told of the new page cache")
-					tell(next)
-				}
-				if class == "order" {
-					if code := client.expectError(1); code == "Throttled" {
-						t.Error("the order is told that it never ran")
-					}
-				}
-				r.expectNoAttemptOf("0000000000000001", 700*time.Millisecond)
-				r.endpoints = append(r.endpoints, next)
-				other := r.dial()
-				for id := 100; ; id++ { // the new one is used under its own name
-					other.request(id, "page", nil)
-					if got := r.nextAttempt(); got.endpoint == next {
-						got.serve("y")
-						other.expect(id, "y")
-						return
-					}
-				}
+				testNewEndpointAtAnOldAddress(t, class, toldFirst)
 			})
 		}
 	}
 }
 
+func testNewEndpointAtAnOldAddress(t *testing.T, class string, toldFirst bool) {
+	const nextID = "s-next"
+	r := newTestRouter(t, 1)
+	for _, profile := range r.config["settings"].(jsonMap)["profiles"].([]jsonMap) {
+		if profile["name"] == "filed" {
+			profile["group"] = "cell" // page caches of one cell drop repeats; the new one is in another cell
+		}
+	}
+	r.startProcess()
+	watch := r.acceptWatch("1")
+	client := r.dial()
+	client.request(1, class, map[string]string{"unique": fmt.Sprintf("%032x", 1)})
+	attempt := r.nextAttempt()
+	old := r.endpoints[0]
+	entry := old.listEntry("ready")
+	entry["instanceId"], entry["cell"] = nextID, 7
+	tell := func() { watch.sendEndpoints(2, false, old.listEntry("gone"), entry) }
+	var next *fakeEndpoint
+	if toldFirst {
+		tell()
+		time.Sleep(100 * time.Millisecond) // the router has applied the list; it would be green without this, too
+		next = r.replaceProcess(old, []endpointMessage{attempt}, nextID)
+	} else {
+		next = r.replaceProcess(old, []endpointMessage{attempt}, nextID)
+		r.expectNoAttempt("before the router is told of the new page cache")
+		tell()
+	}
+	if class == "order" {
+		if code := client.expectError(1); code == "Throttled" {
+			t.Error("the order is told that it never ran")
+		}
+	}
+	r.expectNoAttemptOf(attempt.requestID, 700*time.Millisecond)
+	r.endpoints = append(r.endpoints, next)
+	r.waitForEndpoint(r.dial(), 100, next) // it is used under its own name
+}
+
 // expectNoAttemptOf checks that no endpoint gets an attempt of a request within a time. It answers those of others.
 func (r *testRouter) expectNoAttemptOf(requestID string, within time.Duration) {
 	r.t.Helper()
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -53,14 +53,6 @@
 		ObjectBytes:       240_000,
 		UpstreamSilence:   time.Second,
 
-		DiscoveryLineBytes:    1 * mB,
-		DiscoverySilence:      2 * time.Second,
-		DiscoveryCalls:        6,
-		DiscoveryCallTimeout:  30 * time.Second,
-		DiscoveryReadInterval: 25 * ms,
-		DiscoveryBackoffMin:   25 * ms,
-		DiscoveryBackoffMax:   200 * ms,
-
 		OpenQueries:      1024,
 		AgentCheckConns:  8,
 		AdminConns:       16,
@@ -88,10 +80,22 @@
 		HandoverTimeout:       500 * ms,
 		HandoverDiscoveryWait: 3500 * ms,
 	}
+	l.setDiscoveryDefaults()
 	l.setConnDefaults()
 	return l
 }
 
+// setDiscoveryDefaults sets the limits of the watch of discovery.
+func (l *Limits) setDiscoveryDefaults() {
+	l.DiscoveryLineBytes = 1 * mB
+	l.DiscoverySilence = 2 * time.Second
+	l.DiscoveryCalls = 6
+	l.DiscoveryCallTimeout = 30 * time.Second
+	l.DiscoveryReadInterval = 25 * ms
+	l.DiscoveryBackoffMin = 25 * ms
+	l.DiscoveryBackoffMax = 200 * ms
+}
+
 // setConnDefaults sets the limits of connections, by the party at the other end.
 func (l *Limits) setConnDefaults() {
 	// A client may take 2 s to write a request, and a client that sends none must be disconnected within 3 s. Clients close
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -51,8 +51,8 @@
 	Account              string // pays for the request; empty: none is named
 	ResumesTxn           string // the request's txn at the router that the client has lost; empty: none
 
-	// ClientGone reports whether the client has left, although the request is not cancelled yet. nil: not known.
-	ClientGone func() bool
+	// ClientDisconnected reports whether the client has left, although the request is not cancelled yet. nil: not known.
+	ClientDisconnected func() bool
 
 	// Reply is called once on the core's goroutine, unless the request is cancelled. It returns the verdict that
 	// the client actually got: an answer that can't be passed on becomes a failure.
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -69,7 +69,7 @@
 	now := c.clock()
 	r := a.owner
 	switch {
-	case a.done || now >= a.deadline || r.clientHasGone(now):
+	case a.done || now >= a.deadline || r.clientHasDisconnected(now):
 		return balancer.NotSent, balancer.NoDetail
 	case a.Endpoint.State != balancer.InService || a.Endpoint.placement != a.placement:
 		return balancer.ConnectFailed, balancer.NoDetail
@@ -128,8 +128,8 @@
 		return
 	}
 	c.RememberRequest(q.Txn)
-	if c.onRemembered != nil {
-		c.onRemembered(q.Txn)
+	if c.requests.onRemembered != nil {
+		c.requests.onRemembered(q.Txn)
 	}
 }
 
@@ -144,7 +144,7 @@
 
 // OnRemembered sets a function that is called with the txn of each request that is about to be sent, if it must not run again. It
 // is called once, before Run.
-func (c *Core) OnRemembered(f func(txn string)) { c.onRemembered = f }
+func (c *Core) OnRemembered(f func(txn string)) { c.requests.onRemembered = f }
 
 // serve answers a request with the result of its attempt.
 func (c *Core) serve(r *request, result AttemptResult) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,7 +37,6 @@
 	lifecycle  lifecycle
 	extensions extensions
 
-	onRemembered  func(txn string) // nil: no other process is told of the requests that must not run again
 	stats         statistics
 	stallLoggedAt time.Duration // on the core's clock; 0: never
 	traceEnabled  bool          // debug lines are logged
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -45,13 +45,13 @@
 // retryIsHarmless reports whether the client may be told that a retry does no harm, given the attempts sent so far.
 func (r *request) retryIsHarmless() bool { return !r.policy.nonIdempotent() || !r.mayHaveRun }
 
-// clientGoneCheckAge is the age from which on an attempt of a request is only sent if its client is still there. The end of a
+// disconnectCheckAge is the age from which on an attempt of a request is only sent if its client is still there. The end of a
 // connection that is read late cancels its requests late. What was just read was sent by a client that was there.
-const clientGoneCheckAge = 50 * time.Millisecond
+const disconnectCheckAge = 50 * time.Millisecond
 
-// clientHasGone reports whether the client has left and the request is not cancelled yet.
-func (r *request) clientHasGone(now time.Duration) bool {
-	return r.ClientGone != nil && now-r.acceptedAt > clientGoneCheckAge && r.ClientGone()
+// clientHasDisconnected reports whether the client has left and the request is not cancelled yet.
+func (r *request) clientHasDisconnected(now time.Duration) bool {
+	return r.ClientDisconnected != nil && now-r.acceptedAt > disconnectCheckAge && r.ClientDisconnected()
 }
 
 // checkRepeat decides whether an attempt at an endpoint may follow at the given time, by the module's rule.
@@ -77,7 +77,8 @@
 
 	// mayHaveRun holds the txns of recent requests that may have run, where a second run may do harm. Another request with such a
 	// txn is not sent, whoever sends it: its endpoint could not tell the two apart, and another one would run it again.
-	mayHaveRun agingset.Set
+	mayHaveRun   agingset.Set
+	onRemembered func(txn string) // is called with each txn of mayHaveRun that this process adds; nil: nobody has to know
 }
 
 func newRequestTable() requestTable {
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -135,7 +135,7 @@
 	}
 	request, code := c.server.newRequest(m)
 	request.ArrivedAt = c.server.core.EarliestArrival()
-	request.ClientGone = c.transport.PeerClosed
+	request.ClientDisconnected = c.transport.PeerClosed
 	c.server.core.Post(func() { c.submit(ticket, request, code) })
 	return nil
 }
--- a/internal/netio/accept.go
+++ b/internal/netio/accept.go
@@ -10,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"hillknot/internal/logging"
 )
 
@@ -43,9 +41,10 @@
 	adopt func(acceptedConn)
 
 	// holdOff reports whether new connections should wait in the queue of the socket until evicted connections have
-	// closed. onResourcesExhausted is called when the process or the machine lacks the resources for a connection.
-	// Both may be nil.
+	// closed. isFull reports whether a further connection would need the place of another one. onResourcesExhausted is called
+	// when the process or the machine lacks the resources for a connection. All may be nil.
 	holdOff              func() bool
+	isFull               func() bool
 	onResourcesExhausted func()
 }
 
@@ -100,14 +99,18 @@
 		if l.state.load() != accepting {
 			return nil, net.ErrClosed
 		}
-		if accepted > 0 && !l.hasWaiting() { // holdOff may only be asked for a connection that waits
+		if accepted > 0 && l.isFull != nil && l.isFull() { // holdOff evicts, so it may only be asked for a connection that waits
 			return nil, nil
 		}
-		if l.holdOff != nil && l.holdOff() {
+		if accepted == 0 && l.holdOff != nil && l.holdOff() {
 			runtime.Gosched() // lets the goroutines run that close connections
 			return nil, nil
 		}
-		if err := l.acceptOne(); err != nil {
+		err := l.acceptOne()
+		if accepted > 0 && classifyAcceptError(err) == emptyQueue {
+			return nil, nil
+		}
+		if err != nil {
 			return nil, l.handleAcceptError(err)
 		}
 		l.failures.Store(0)
@@ -116,17 +119,6 @@
 	return nil, nil
 }
 
-// hasWaiting reports whether a connection waits in the queue of the socket. If the system can't tell, none is assumed.
-func (l *pausableListener) hasWaiting() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return false
-	}
-	ready, err := unix.Poll([]unix.PollFd{{Fd: int32(l.fd), Events: unix.POLLIN}}, 0)
-	return err == nil && ready > 0
-}
-
 // acceptOne accepts a connection and passes it to adopt.
 func (l *pausableListener) acceptOne() error {
 	l.setup.Add(1) // until the server knows the connection
--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -72,6 +72,6 @@
 func (c *Conn) recordClose(reason CloseReason) {
 	closeCounts[reason].Add(1)
 	if log.Enabled(context.Background(), slog.LevelDebug) {
-		log.Debug("connection closing", logging.KeyRemote, c.remote, logging.KeyReason, reason.String())
+		log.Debug("connection closing", logging.KeyRemote, c.origin.remote, logging.KeyReason, reason.String())
 	}
 }
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -53,11 +53,10 @@
 // connection on which Send is used.
 type Conn struct {
 	transport netpoll.Connection
-	remote    net.Addr // the peer's address
+	origin    connOrigin
 	handler   Handler
 	limits    config.ConnLimits
 	budget    *Budget
-	dialed    bool      // this side has opened the connection
 	task      *gateTask // the latest task that read input; only that task and the cleanup after it use it
 
 	mu                 sync.Mutex
@@ -77,6 +76,12 @@
 	buffersFreed bool       // netpoll has freed that buffer or is about to; guarded by flushMu
 }
 
+// connOrigin says where a connection comes from.
+type connOrigin struct {
+	remote net.Addr // the peer's address
+	dialed bool     // this side has opened the connection
+}
+
 // closeSteps holds the steps of a close that are taken once.
 type closeSteps struct {
 	cleanup sync.Once // after the transport has closed
@@ -111,7 +116,7 @@
 }
 
 // RemoteAddr returns the peer's address.
-func (c *Conn) RemoteAddr() net.Addr { return c.remote }
+func (c *Conn) RemoteAddr() net.Addr { return c.origin.remote }
 
 // AddPendingReplies adds n to the number of replies that the handler still has to give. The handler passes a negative n
 // after it has given replies. A connection without pending replies may be closed as idle or evicted; one on which
@@ -153,15 +158,15 @@
 	return err == nil && unread > 0
 }
 
-// PeerClosed reports whether the peer has closed its side or reset the connection, even if what it sent before is not read yet. If
-// the system can't tell, it is assumed that the peer is there.
+// PeerClosed reports whether a peer that has sent something has closed its side or reset the connection, even if what it sent is not
+// read yet. If the system can't report the bytes that arrived, it is assumed that the peer is there.
 func (c *Conn) PeerClosed() bool {
 	fd, ok := c.socket()
 	if !ok {
 		return true
 	}
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && (info.State == tcpClosed || endOfStream(info) > 0)
+	return err == nil && info.Bytes_received > 0 && (info.State == tcpClosed || endOfStream(info) > 0)
 }
 
 // endOfStream returns how much the end of the peer's stream adds to the received bytes that the system reports.
--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -36,7 +36,7 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	c := newConn(transport, limits, budget)
-	c.remote = transport.RemoteAddr()
+	c.origin.remote = transport.RemoteAddr()
 	if fd, ok := c.socket(); ok && limits.ReceiveBuffer > 0 {
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, limits.ReceiveBuffer) // the default size serves too
 	}
@@ -50,7 +50,7 @@
 		c.Close()
 		return nil, fmt.Errorf("dial: %w", ErrUnsolicitedInput)
 	}
-	c.dialed = true
+	c.origin.dialed = true
 	if err := transport.SetOnRequest(c.read); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("dial: %w", err)
--- a/internal/netio/evict.go
+++ b/internal/netio/evict.go
@@ -22,6 +22,9 @@
 // inUse returns the number of open connections that were not evicted.
 func (s *connSlots) inUse() int64 { return s.open.Load() - s.evicted.Load() }
 
+// isFull reports whether all slots are taken.
+func (s *connSlots) isFull() bool { return s.inUse() >= s.max.Load() }
+
 // hardLimit returns the maximum number of open connections, including those that were evicted and have not closed yet.
 // Evicted connections close in goroutines of their own, so some slots above the limit are reserved for them.
 func (s *connSlots) hardLimit() int64 {
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -49,7 +49,7 @@
 	if length == 0 {
 		return nil
 	}
-	if c.dialed && c.limits.ReceiveBuffer > 0 && length > maxReceiveBuffers*c.limits.ReceiveBuffer || length > maxUnreadInput {
+	if c.origin.dialed && c.limits.ReceiveBuffer > 0 && length > maxReceiveBuffers*c.limits.ReceiveBuffer || length > maxUnreadInput {
 		c.recordClose(closeInputFlood)
 		c.Close()
 		return nil
--- a/internal/netio/server.go
+++ b/internal/netio/server.go
@@ -89,6 +89,7 @@
 		closing: make(chan struct{}), served: make(chan struct{})}
 	listener.adopt = s.adopt
 	listener.holdOff = s.shouldHoldOff
+	listener.isFull = s.slots.isFull
 	listener.onResourcesExhausted = func() { s.evict(rankIdle) }
 	s.SetMaxConns(maxConns)
 	if s.loop, err = s.newLoop(); err != nil {
@@ -273,7 +274,7 @@
 		return
 	}
 	c := newConn(transport, s.limits, s.budget)
-	c.remote = accepted.remote
+	c.origin.remote = accepted.remote
 	defer c.recoverAndClose()
 	c.handler = s.newHandler(c)
 	s.conns.Store(c, nil)
--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -149,14 +149,19 @@
 	}
 	defer fleet.Close()
 	run := &floodRun{router: fleet.Routers[0], length: settings.Length, peers: peers, stop: make(chan struct{}), counts: &floodCounter{}}
+	return run.play(kind)
+}
+
+// play floods the router while the steady client and the client with new connections send, and has it end.
+func (run *floodRun) play(kind floodKind) (result *floodResult, err error) {
 	monitor := startProcessMonitor(run.router.process.Process.Pid, sampleInterval)
 	goroutines := startGoroutineMonitor(run.router, goroutineSampleInterval)
 	steady := startSteadyClient(run.router.ListenAddress)
 	newConns := startNewConnClient(run.router.ListenAddress)
 	flood := kind.start(run)
-	time.Sleep(settings.Length)
+	time.Sleep(run.length)
 
-	result := &floodResult{mayLoseAnswers: kind.mayLoseAnswers, newConns: newConns.stop()}
+	result = &floodResult{mayLoseAnswers: kind.mayLoseAnswers, newConns: newConns.stop()}
 	time.AfterFunc(floodConnectTime, steady.stopConnecting)
 	result.end(run)
 	close(run.stop)
@@ -164,7 +169,7 @@
 	result.steady = steady.stop()
 	result.goroutines = goroutines.stop()
 	result.flood = run.counts.read()
-	result.lateAttempts = peers.lateAttempts()
+	result.lateAttempts = run.peers.lateAttempts()
 	result.use, err = monitor.finish()
 	return result, err
 }
--- a/loadtest/floodfrontends.go
+++ b/loadtest/floodfrontends.go
@@ -8,23 +8,24 @@
 	"sync"
 )
 
-// startDNSDatagrams returns the start of a flood of DNS queries over UDP, whose answers nobody reads.
-func startDNSDatagrams(sockets int) func(*floodRun) *sync.WaitGroup {
+// startDatagrams returns the start of a flood of datagrams to a port of the router, whose answers nobody reads. packet returns a
+// datagram, of which each socket counts its own from 1.
+func startDatagrams(port, sockets int, packet func(number uint64) []byte) func(*floodRun) *sync.WaitGroup {
 	return func(run *floodRun) *sync.WaitGroup {
 		var senders sync.WaitGroup
 		for range sockets {
 			senders.Go(func() {
-				conn, err := net.Dial("udp", run.router.addressOf(floodDNSPort))
+				conn, err := net.Dial("udp", run.router.addressOf(port))
 				if err != nil {
 					return
 				}
 				defer conn.Close()
-				for id := uint16(1); ; id++ {
+				for number := uint64(1); ; number++ {
 					select {
 					case <-run.stop:
 						return
 					default:
-						_, _ = conn.Write(appendQuery(nil, id)) // fails for as long as the router is down
+						_, _ = conn.Write(packet(number)) // fails for as long as the router is down
 					}
 				}
 			})
@@ -33,6 +34,9 @@
 	}
 }
 
+// sameNameQuery returns a DNS query for the addresses of floodZone.
+func sameNameQuery(number uint64) []byte { return appendQuery(nil, uint16(number)) }
+
 // startDNSConnections returns the start of a flood of DNS queries over TCP, whose answers nobody reads.
 func startDNSConnections(conns int) func(*floodRun) *sync.WaitGroup {
 	return func(run *floodRun) *sync.WaitGroup {
--- a/loadtest/floodgossip.go
+++ b/loadtest/floodgossip.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -36,32 +35,12 @@
 	return append(message, make([]byte, gossipMaxState-1)...)
 }
 
-// startGossipPackets returns the start of a flood of packets that can't be decrypted.
-func startGossipPackets(sockets int) func(*floodRun) *sync.WaitGroup {
-	return func(run *floodRun) *sync.WaitGroup {
-		var senders sync.WaitGroup
-		for range sockets {
-			senders.Go(func() {
-				conn, err := net.Dial("udp", run.router.addressOf(clusterPort))
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				packet := make([]byte, 1200)
-				for {
-					select {
-					case <-run.stop:
-						return
-					default:
-						binary.BigEndian.PutUint64(packet[1:], rand.Uint64())
-						packet[0] = gossipEncrypted
-						_, _ = conn.Write(packet) // fails for as long as the router is down
-					}
-				}
-			})
-		}
-		return &senders
-	}
+// undecryptablePacket returns a packet that can't be decrypted.
+func undecryptablePacket(number uint64) []byte {
+	packet := make([]byte, 1200)
+	packet[0] = gossipEncrypted
+	binary.BigEndian.PutUint64(packet[1:], number)
+	return packet
 }
 
 // sharedHalfGossip is the message of all connections, as 300 copies would fill the memory of the load test itself.
--- a/loadtest/floodkinds.go
+++ b/loadtest/floodkinds.go
@@ -41,7 +41,7 @@
 	{name: "cache-answers", cache: unsolicitedAnswers, start: startNothing},
 	{name: "cache-bodies", cache: unsolicitedBodies, start: startNothing},
 	{name: "cache-line", cache: endlessLine, start: startNothing},
-	{name: "dns-udp", mayLoseAnswers: true, start: startDNSDatagrams(8)},
+	{name: "dns-udp", mayLoseAnswers: true, start: startDatagrams(floodDNSPort, 8, sameNameQuery)},
 	{name: "dns-tcp", mayLoseAnswers: true, start: startDNSConnections(20)},
 	{name: "admin", mayLoseAnswers: true, start: startAdminRequests(32)},
 	{name: "agent-check", mayLoseAnswers: true, start: startAgentChecks(32)},
@@ -70,11 +70,11 @@
 	{name: "new-classes", mayLoseAnswers: true, start: startFloodClients(40, unknownClasses, true)},
 	{name: "new-objects", start: startFloodClients(40, newObjects, true)},
 	{name: "discovery-new-names", discovery: newNames, start: startNothing},
-	{name: "dns-new-names", mayLoseAnswers: true, start: startNewDNSNames(8)},
+	{name: "dns-new-names", mayLoseAnswers: true, start: startDatagrams(floodDNSPort, 8, newNameQuery)},
 	{name: "admin-new-paths", mayLoseAnswers: true, start: startConnsAt(adminPort, 32, newPaths)},
 
 	{name: "half-gossip", cluster: true, start: startConnsAt(clusterPort, 300, sendHalfGossip)},
-	{name: "gossip-packets", cluster: true, start: startGossipPackets(4)},
+	{name: "gossip-packets", cluster: true, start: startDatagrams(clusterPort, 4, undecryptablePacket)},
 
 	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseAnswers: true},
 	{name: "log-closed", log: closedPipe, start: startMalformed(4), mayLoseAnswers: true},
--- a/loadtest/floodleavers.go
+++ b/loadtest/floodleavers.go
@@ -46,5 +46,5 @@
 	}
 	_, _ = conn.Write(messages) // the router may have closed the connection
 	_ = conn.Close()
-	run.peers.noteLeft(time.Now(), txns)
+	run.peers.noteDisconnected(time.Now(), txns)
 }
--- a/loadtest/floodnames.go
+++ b/loadtest/floodnames.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 
 	"hillknot/internal/rpc"
 )
@@ -35,31 +34,6 @@
 	return rpc.AppendRequest(b, id, &rpc.Request{Method: classPage, Txn: conn<<floodTxnBits | id, Item: id, TimeoutMillis: 1 << 40}), true
 }
 
-// startNewDNSNames returns the start of a flood of DNS queries over UDP for a new name each, inside and outside of the zone.
-func startNewDNSNames(sockets int) func(*floodRun) *sync.WaitGroup {
-	return func(run *floodRun) *sync.WaitGroup {
-		var senders sync.WaitGroup
-		for range sockets {
-			senders.Go(func() {
-				conn, err := net.Dial("udp", run.router.addressOf(floodDNSPort))
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				for id := uint64(1); ; id++ {
-					select {
-					case <-run.stop:
-						return
-					default:
-						_, _ = conn.Write(newNameQuery(id)) // fails for as long as the router is down
-					}
-				}
-			})
-		}
-		return &senders
-	}
-}
-
 // newNameQuery returns a DNS query for a name of its own.
 func newNameQuery(id uint64) []byte {
 	zone := floodZone
--- a/loadtest/floodpeers.go
+++ b/loadtest/floodpeers.go
@@ -23,10 +23,10 @@
 	caches    []*fakes.Server
 	answering []*fakes.Cache // page caches that answer; those in caches relay to them
 
-	mu       sync.Mutex
-	position int                  // of the latest event
-	leftAt   map[string]time.Time // by txn: when the client of a request has closed its connection
-	late     int                  // attempts for such requests that came over maxAttemptAfterClose later
+	mu             sync.Mutex
+	position       int                  // of the latest event
+	disconnectedAt map[string]time.Time // by txn: when the client of a request has closed its connection
+	late           int                  // attempts for such requests that came over maxAttemptAfterClose later
 }
 
 // maxAttemptAfterClose is how long after a client's close an attempt for one of its requests may still be sent.
@@ -36,19 +36,19 @@
 func (p *floodPeers) answer(request fakes.Request) fakes.Reply {
 	now := time.Now()
 	p.mu.Lock()
-	if left, found := p.leftAt[request.ID]; found && now.Sub(left) > maxAttemptAfterClose {
+	if at, found := p.disconnectedAt[request.ID]; found && now.Sub(at) > maxAttemptAfterClose {
 		p.late++
 	}
 	p.mu.Unlock()
 	return fakes.Reply{Status: "DONE", Fields: "res=cached", Body: []byte("body")}
 }
 
-// noteLeft records that the client of requests has closed its connection.
-func (p *floodPeers) noteLeft(at time.Time, txns []uint64) {
+// noteDisconnected records that the client of requests has closed its connection.
+func (p *floodPeers) noteDisconnected(at time.Time, txns []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, txn := range txns {
-		p.leftAt[objectName(txn)] = at
+		p.disconnectedAt[objectName(txn)] = at
 	}
 }
 
@@ -61,7 +61,7 @@
 
 // startFloodPeers starts the peers. A nil stream stands for a peer that behaves well.
 func startFloodPeers(discovery, cache floodStream) (*floodPeers, error) {
-	p := &floodPeers{position: 1, leftAt: map[string]time.Time{}}
+	p := &floodPeers{position: 1, disconnectedAt: map[string]time.Time{}}
 	for range floodCaches + 1 {
 		answering, err := fakes.NewCache("127.0.0.1:0", p.answer)
 		if err != nil {
