Floods: probes of the operators' address, the agent check and DNS beside each kind

Each flood now says how operators, load balancers and resolvers fare meanwhile: calls, calls without an answer in 1 s, and the longest answer.

--- a/loadtest/flood.go
+++ b/loadtest/flood.go
@@ -38,8 +38,8 @@
 // not be run.
 func MeasureFloods(settings FloodSettings, out io.Writer) error {
 	_, _ = fmt.Fprintln(out,
-		"| flood | peak MB | descriptors | goroutines | steady client: sent, served, refused, failed | late | lost | new connections: sent, answered, late, unanswered | longest | flood: sent, answered, lost | end after SIGTERM | broken |\n"+
-			"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		"| flood | peak MB | descriptors | goroutines | steady client: sent, served, refused, failed | late | lost | new connections: sent, answered, late, unanswered | longest | flood: sent, answered, lost | end after SIGTERM | operators: sent, unanswered, longest | agent check | DNS | broken |\n"+
+			"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	broken := 0
 	for _, name := range settings.Kinds {
 		kind, err := floodKindNamed(name)
@@ -66,6 +66,7 @@
 	goroutines     int
 	steady         steadyResult
 	newConns       newConnResult // until the router is told to end
+	probes         []probeResult // until then: of operators' address, agent check, DNS
 	flood          floodCounts
 	mayLoseAnswers bool // requests of the flood may be lost
 	lateAttempts   int  // over maxAttemptAfterClose after the close of their client
@@ -99,11 +100,12 @@
 
 // cells formats the result as cells of a table.
 func (r *floodResult) cells() string {
-	return fmt.Sprintf("%.0f | %d | %d | %d, %d, %d, %d | %d | %d | %d, %d, %d, %d | %v | %d, %d, %d | %v",
+	return fmt.Sprintf("%.0f | %d | %d | %d, %d, %d, %d | %d | %d | %d, %d, %d, %d | %v | %d, %d, %d | %v | %v | %v | %v",
 		r.use.memoryMB, r.use.descriptors, r.goroutines,
 		r.steady.sent, r.steady.served, r.steady.refused, r.steady.failed, r.steady.late, r.steady.lost,
 		r.newConns.sent, r.newConns.answered, r.newConns.late, r.newConns.unanswered, r.newConns.longest.Round(time.Millisecond),
-		r.flood.sent, r.flood.answered, r.flood.lost, r.endedAfter.Round(time.Millisecond))
+		r.flood.sent, r.flood.answered, r.flood.lost, r.endedAfter.Round(time.Millisecond),
+		r.probes[0], r.probes[1], r.probes[2])
 }
 
 // floodRun is the run of one flood.
@@ -158,10 +160,14 @@
 	goroutines := startGoroutineMonitor(run.router, goroutineSampleInterval)
 	steady := startSteadyClient(run.router.ListenAddress)
 	newConns := startNewConnClient(run.router.ListenAddress)
+	probes := startFrontProbes(run.router)
 	flood := kind.start(run)
 	time.Sleep(run.length)
 
 	result = &floodResult{mayLoseAnswers: kind.mayLoseAnswers, newConns: newConns.stop()}
+	for _, probe := range probes {
+		result.probes = append(result.probes, probe.stop())
+	}
 	time.AfterFunc(floodConnectTime, steady.stopConnecting)
 	result.end(run)
 	close(run.stop)
