--- a/internal/upstream/awaited_test.go
+++ b/internal/upstream/awaited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync/atomic"
 	"testing"
 
 	"hillknot/balancer"
@@ -19,18 +20,18 @@
 	if used, _, err := c.Consume(input); used != len(input) || err != nil {
 		t.Fatalf("used %d of %d bytes, error %v", used, len(input), err)
 	}
-	if recorder.posts != 2 { // the response to t1, and one report of all others
-		t.Errorf("the core got %d calls, want 2", recorder.posts)
+	if posts := recorder.posts.Load(); posts != 2 { // the response to t1, and one report of all others
+		t.Errorf("the core got %d calls, want 2", posts)
 	}
 }
 
 // postRecorder counts the calls that are posted, and makes none of them.
 type postRecorder struct {
 	Core
-	posts int
+	posts atomic.Int64
 }
 
-func (r *postRecorder) Post(func()) { r.posts++ }
+func (r *postRecorder) Post(func()) { r.posts.Add(1) }
 
 // A body that does not fit into the budget is dropped, and the budget holds what is on its way to the core.
 func TestBodyOverTheBudgetIsDropped(t *testing.T) {
@@ -53,7 +54,7 @@
 	if _, _, err := c.Consume([]byte("t2 DONE - 4\r\nbody\r\n")); err != nil {
 		t.Fatal(err)
 	}
-	if posted.posts != 1 || h.client.budget.Used() != 0 {
-		t.Errorf("%d calls posted, %d bytes counted; want one and none", posted.posts, h.client.budget.Used())
+	if posts := posted.posts.Load(); posts != 1 || h.client.budget.Used() != 0 {
+		t.Errorf("%d calls posted, %d bytes counted; want one and none", posts, h.client.budget.Used())
 	}
 }
