discovery: bytes that are being parsed put the silence of a watch off, too

Cause: looked for unread bytes only. Between the moment when bytes leave the socket and the moment when they count as received, they were in neither place. Change: silentAt asks HasPendingInput, before it takes the status, in the order in which bytes pass. Why it works: bytes show as unread, as being parsed, or in progressAt.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -73,9 +73,9 @@
 // maxUnansweredBytes is how many bytes a call may receive until it counts as answered although they end no line of the stream.
 const maxUnansweredBytes = 16 << 10
 
-// unreadInputDelay is how long the watcher waits for bytes that have arrived but are not read yet: a process that was stopped finds
+// pendingInputDelay is how long the watcher waits for bytes that have arrived but are not parsed yet: a process that was stopped finds
 // its timers due before it has read its sockets.
-const unreadInputDelay = 10 * time.Millisecond
+const pendingInputDelay = 10 * time.Millisecond
 
 // startCall starts a call to an address. updated gets a value when its status changes.
 func (w *Watcher) startCall(address string, updated chan<- struct{}) *call {
@@ -192,22 +192,24 @@
 }
 
 // silentAt returns when the service counts as silent if no more bytes of it are received. Bytes that have arrived and wait to be
-// read put that off, but not for longer than limits.DiscoverySilence.
+// read, or are being parsed, put that off, but not for longer than limits.DiscoverySilence.
 func (c *call) silentAt(now time.Duration) time.Duration {
 	silence := c.watcher.limits.DiscoverySilence
+	// Looked up before the status, so that bytes that are parsed meanwhile show in one of the two.
+	isPending := c.hasPendingInput()
 	due := c.status().progressAt + silence
-	if now >= due && now < due+silence && c.hasUnreadInput() {
-		return now + unreadInputDelay
+	if isPending && now >= due && now < due+silence {
+		return now + pendingInputDelay
 	}
 	return due
 }
 
 // silenceError returns the error of a call on which nothing was received for a time. It says whether bytes of the service
-// wait to be read, which would be a fault of this process and not of the service.
+// wait, which would be a fault of this process and not of the service.
 func (c *call) silenceError() error {
 	silence := c.watcher.limits.DiscoverySilence
-	if c.hasUnreadInput() {
-		return fmt.Errorf("%w: received nothing for %v, but unread bytes wait", errSilent, 2*silence)
+	if c.hasPendingInput() {
+		return fmt.Errorf("%w: received nothing for %v, but bytes wait to be read or parsed", errSilent, 2*silence)
 	}
 	return fmt.Errorf("%w: received nothing for %v", errSilent, silence)
 }
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -161,6 +161,43 @@
 	}
 }
 
+// slowHandler is a recorder that takes long to accept the first event.
+type slowHandler struct {
+	*recorder
+	delay time.Duration
+	once  sync.Once
+}
+
+func (h *slowHandler) PostWatchEvent(f func()) {
+	h.once.Do(func() { time.Sleep(h.delay) })
+	f()
+}
+
+// A stream was given up as silent when its bytes had left the socket but were still being parsed: after a stop of the process, that
+// depended on whether the timer of the silence or the reader of the socket came first.
+func TestStreamWhoseBytesAreBeingParsedIsNotSilent(t *testing.T) {
+	t.Parallel()
+	const silence = time.Second // long enough for a busy machine to send comments in time
+	limits := slowLimits()
+	limits.DiscoverySilence = silence
+	service := newSlowService(t, func(_ int, conn net.Conn) {
+		write(conn, responseHeader+"\r\n: here\n\n")
+		time.Sleep(silence / 2)
+		write(conn, purgeOfGroup1)
+		time.Sleep(silence) // so that no bytes wait in the socket while the purge is being parsed
+		for err := error(nil); err == nil; _, err = conn.Write([]byte(": here\n\n")) {
+			time.Sleep(silence / 10)
+		}
+	})
+	handler := &slowHandler{recorder: newRecorder(), delay: silence}
+	startWatcher(t, handler, service.address, limits, jsonfields.Object{})
+	expect(t, handler.events, "true 0 1")
+	time.Sleep(silence / 2)
+	if calls := len(service.calls()); calls != 1 {
+		t.Errorf("the service was called %d times, want once", calls)
+	}
+}
+
 // A service whose connections come up later than limits.ConnectTimeout was never heard: each connection was given up before.
 func TestServiceWhoseConnectionsComeUpLateIsHeard(t *testing.T) {
 	for name, delay := range map[string]time.Duration{"twice the timeout": testSilence, "20 times the timeout": 10 * testSilence} {
