netio: a message whose rest is being handled is not incomplete

What callers saw: a connection could be closed for an incomplete message although its rest had arrived, when the time-out came due while the handler had the bytes, as after a stop of the process.

Cause: closeIncomplete looked for unread bytes only. Change: it asks HasPendingInput before it looks at the message. Why it works: bytes show as unread, as being handled, or in the state of the message.

--- a/internal/netio/flood_test.go
+++ b/internal/netio/flood_test.go
@@ -205,3 +205,28 @@
 		t.Errorf("an incomplete message was closed after %v, want 50ms", took)
 	}
 }
+
+// A connection was closed for an incomplete message when the rest of the message had left the socket but was still being handled:
+// after a stop of the process, that depended on whether the time-out or the reader of the socket came first.
+func TestMessageWhoseRestIsBeingHandledIsNotIncomplete(t *testing.T) {
+	limits := testLimits
+	limits.ReadTimeout, limits.MessageTimeout = 50*time.Millisecond, time.Second
+	_, nc, g := newGatedPair(t, limits)
+	write(t, nc, "half")
+	for !g.c.input.isPartial() {
+		time.Sleep(time.Millisecond)
+	}
+	write(t, nc, " a line\n")
+	<-g.received
+	time.Sleep(2 * limits.ReadTimeout) // the time-out comes due while the rest is being handled
+	g.release <- true
+	write(t, nc, "next\n")
+	select {
+	case <-g.received:
+		g.release <- true
+	case <-g.closed:
+		t.Error("the connection was closed although its message was complete")
+	case <-time.After(10 * time.Second):
+		t.Error("the next message is not handled")
+	}
+}
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -161,19 +161,21 @@
 	c.input.timer.start(deadline, max(deadline-now, time.Millisecond), c.closeIncomplete)
 }
 
-// unreadInputDelay is how long a message that is out of time waits for bytes of it that have arrived in the socket: a process
-// that was stopped finds its timers due before it has read its sockets.
-const unreadInputDelay = 10 * time.Millisecond
+// pendingInputDelay is how long a message that is out of time waits for bytes of it that have arrived and are not handled yet: a
+// process that was stopped finds its timers due before it has read its sockets.
+const pendingInputDelay = 10 * time.Millisecond
 
 // closeIncomplete closes the connection if the rest of its incomplete message has not arrived in time.
 func (c *Conn) closeIncomplete() {
+	// Looked up first, so that bytes that the handler gets meanwhile show here or in the state of the message.
+	isPending := c.HasPendingInput()
 	now := clock.Now()
 	switch deadline := c.input.timer.deadline(); {
 	case deadline == 0 || !c.input.isPartial():
 	case now < deadline:
 		c.input.timer.start(deadline, deadline-now, c.closeIncomplete)
-	case c.HasUnreadInput() && !c.isEnding():
-		c.input.timer.start(deadline, unreadInputDelay, c.closeIncomplete)
+	case isPending && !c.isEnding():
+		c.input.timer.start(deadline, pendingInputDelay, c.closeIncomplete)
 	default:
 		c.CloseAfterReplies(CloseInputEnded)
 	}
