membership: the agent ends while strangers connect

A router that ends does not wait for it, so clients saw nothing; its goroutine and socket stayed until the end of the process.

Cause: the listener of the gossip library waits, without end, until each connection is taken, and its Shutdown waits for the listener. What takes the connections ended before. Change: it goes on until the listener has ended, and closes what it takes. Why it works: nothing that the listener waits for stops before it.

--- a/internal/cluster/membership/memberlist.go
+++ b/internal/cluster/membership/memberlist.go
@@ -75,12 +75,19 @@
 	local   netip.Addr
 	limits  streamLimits
 	streams chan net.Conn // that other routers have opened, bounded
-	stop    chan struct{} // closed by Shutdown
+	stop    chan struct{} // closed when Shutdown begins
+	ended   chan struct{} // closed once the listeners have ended
 	stopped sync.Once
 }
 
 func newTransport(network *memberlist.NetTransport, local netip.Addr) *transport {
-	t := &transport{NetTransport: network, local: local, streams: make(chan net.Conn, maxUnhandledStream), stop: make(chan struct{})}
+	t := &transport{
+		NetTransport: network,
+		local:        local,
+		streams:      make(chan net.Conn, maxUnhandledStream),
+		stop:         make(chan struct{}),
+		ended:        make(chan struct{}),
+	}
 	go t.acceptStreams()
 	return t
 }
@@ -90,8 +97,13 @@
 
 // Shutdown implements memberlist.Transport.
 func (t *transport) Shutdown() error {
-	t.stopped.Do(func() { close(t.stop) })
-	return t.NetTransport.Shutdown()
+	var err error
+	t.stopped.Do(func() {
+		close(t.stop)
+		err = t.NetTransport.Shutdown()
+		close(t.ended)
+	})
+	return err
 }
 
 // DialTimeout implements memberlist.Transport.
--- a/internal/cluster/membership/streams.go
+++ b/internal/cluster/membership/streams.go
@@ -97,25 +97,33 @@
 	return s.Conn.Close()
 }
 
-// acceptStreams passes on the connections that other routers open, within the limits, until stop is closed.
+// acceptStreams passes on the connections that other routers open, within the limits, until Shutdown. It then closes what the network
+// still accepts until its listeners have ended: they can't end while a connection waits to be taken.
 func (t *transport) acceptStreams() {
 	defer logging.ReportPanic(log)
 	for {
 		select {
 		case conn := <-t.NetTransport.StreamCh():
-			stream, ok := t.limits.accept(conn)
-			if !ok {
-				time.Sleep(rejectInterval) // further ones wait in the queue of the socket
-				continue
-			}
-			select {
-			case t.streams <- stream:
-			case <-t.stop:
-				_ = stream.Close() // the agent ends
-				return
-			}
-		case <-t.stop:
+			t.passOn(conn)
+		case <-t.ended:
 			return
 		}
 	}
 }
+
+// passOn passes on a connection, or closes it if too many are open or the agent ends.
+func (t *transport) passOn(conn net.Conn) {
+	stream, ok := t.limits.accept(conn)
+	if !ok {
+		select {
+		case <-time.After(rejectInterval): // further ones wait in the queue of the socket
+		case <-t.stop:
+		}
+		return
+	}
+	select {
+	case t.streams <- stream:
+	case <-t.stop:
+		_ = stream.Close()
+	}
+}
--- a/internal/cluster/membership/streams_test.go
+++ b/internal/cluster/membership/streams_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"io"
+	stdlog "log"
 	"net"
 	"net/netip"
 	"runtime"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"hillknot/internal/clock"
 )
 
@@ -120,3 +123,35 @@
 		t.Errorf("%d bytes still count after the close", received)
 	}
 }
+
+// An agent never ended while strangers connected: what passes connections on had ended, and the listener waited for it forever.
+func TestShutdownWhileStrangersConnect(t *testing.T) {
+	address := freeAddress(t)
+	network, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+		BindAddrs: []string{address.Addr().String()},
+		BindPort:  int(address.Port()),
+		Logger:    stdlog.New(io.Discard, "", 0),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := newTransport(network, address.Addr())
+	for range 2 * maxOpenStreams { // nobody takes them from the transport
+		conn, err := net.Dial("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	waitUntil(t, "a connection is passed on", func() bool { return len(transport.streams) > 0 })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = transport.Shutdown()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(joinDeadline):
+		t.Error("Shutdown does not return")
+	}
+}
