core, msgpackrpc: a claim is never told that its order did not run by a router that did not ask

Cause: core.Submit and the connection refuse requests (full, drained, ended, no time) before they look whether it is a claim. Evidence: the answer comes in the millisecond of the claim, and nobody was asked. Change: a refused claim fails ('may have run'); on standby a claim is taken, asked about and answered before the connections end, and an order granted to it is rejected, once its replica has let go. A repeated id that may have run is looked up before the room is. Why it works: a rejection is now said only by proof, or of what only this router has seen.

--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -77,7 +77,8 @@
 	}
 }
 
-// ClaimGranted reports that this router may run a claimed order, under the txn that the order had.
+// ClaimGranted reports that this router may run a claimed order, under the txn that the order had. The order has surely not run, so a
+// router that takes no new requests rejects it.
 func (c *Core) ClaimGranted(id balancer.RequestID) {
 	r := c.requests.claiming(id)
 	if r == nil {
@@ -90,7 +91,13 @@
 	}
 	c.requests.changeTxn(r, r.ResumesTxn)
 	r.Retry = true
-	c.startRequest(r)
+	if !c.refusesNew() {
+		c.startRequest(r)
+		return
+	}
+	if c.replicateOrder(r) {
+		c.answer(r, c.rejection())
+	}
 }
 
 // AcquireSendPermission reports whether this router has the permission to write an attempt now. If not, it requests the
--- a/internal/core/orders_test.go
+++ b/internal/core/orders_test.go
@@ -59,13 +59,18 @@
 
 // claim submits a request that resumes the request which another router took under the given txn.
 func (h *harness) claim(class, txn string) balancer.RequestID {
+	return h.claimWithin(class, txn, 2*second)
+}
+
+// claimWithin is claim for a client that stops waiting after the given time.
+func (h *harness) claimWithin(class, txn string, timeout time.Duration) balancer.RequestID {
 	id := h.core.NewID()
 	h.core.Submit(id, Request{
 		Txn:        txn + " again",
 		ResumesTxn: txn,
 		Class:      class,
 		Object:     7,
-		Timeout:    2 * second,
+		Timeout:    timeout,
 		Write:      class == "order",
 		Reply:      h.reply,
 	})
@@ -239,3 +244,76 @@
 		t.Errorf("%d claims cancelled, want 1", failover.cancelledClaims)
 	}
 }
+
+// A claim was told that its order never ran, although nobody was asked, by a router that was drained, full or had no time: the client
+// sent its order again, and it ran twice (review, case 9).
+func TestClaimIsNeverRejectedUnasked(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*harness)
+		timeout time.Duration
+		asked   bool
+	}{
+		"standby": {asked: true, timeout: 2 * second, prepare: func(h *harness) {
+			h.core.EnterStandby()
+			h.wait(h.core.limits.DrainRejectNew)
+		}},
+		"standby, its connections end": {timeout: 2 * second, prepare: func(h *harness) {
+			h.core.EnterStandby()
+			h.wait(h.core.limits.DrainCloseAll)
+		}},
+		"full":    {timeout: 2 * second, prepare: func(h *harness) { h.core.limits.OpenRequests = 0 }},
+		"no time": {timeout: 1},
+		"closed":  {timeout: 2 * second, prepare: func(h *harness) { h.core.lifecycle.state = stateClosed }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.setDrainTimes()
+			failover := h.withOrderFailover()
+			if c.prepare != nil {
+				c.prepare(h)
+			}
+			h.claimWithin("order", "old", c.timeout)
+			if asked := len(failover.claims) == 1; asked != c.asked {
+				t.Errorf("%d claims, want them asked: %v", len(failover.claims), c.asked)
+			}
+			if !c.asked {
+				h.wantOneAnswer(name, Failed)
+			}
+		})
+	}
+}
+
+// A router that is drained asks the others about a claim, and answers it before its connections have to end. It rejects an order that it
+// may run, as that order has surely not run.
+func TestClaimOnStandbyIsAnsweredInTime(t *testing.T) {
+	h := newHarness(t)
+	h.setDrainTimes()
+	failover := h.withOrderFailover()
+	h.core.EnterStandby()
+	h.wait(h.core.limits.DrainRejectNew)
+	h.core.ClaimAnswered(h.claim("order", "known"), Answer{Verdict: Served, Body: []byte("y")})
+	h.wantOneAnswer("known", Served)
+	h.answers = nil
+	h.core.ClaimGranted(h.claim("order", "granted"))
+	h.core.RunOnce()
+	h.wantOneAnswer("granted", Rejected)
+	if len(h.outstanding) > 0 || len(failover.finished) != 1 {
+		t.Errorf("%d attempts and %d ends of orders, want none and one", len(h.outstanding), len(failover.finished))
+	}
+	h.answers = nil
+	h.claim("order", "unknown")
+	h.wait(h.core.limits.DrainCloseAll - h.core.limits.DrainRejectNew)
+	h.wantOneAnswer("no answer to the claim", Failed)
+}
+
+// A request that may have run is told so when it comes again, also by a router that takes no new requests.
+func TestRepeatedIDIsNotRejectedWhileDraining(t *testing.T) {
+	h := newHarness(t)
+	h.setDrainTimes()
+	h.core.requests.mayHaveRun.Add("7", h.now, 10*second)
+	h.core.EnterStandby()
+	h.wait(h.core.limits.DrainRejectNew)
+	h.core.Submit(h.core.NewID(), Request{Txn: "7", Class: "order", Timeout: second, Write: true, Reply: h.reply})
+	h.core.RunOnce()
+	h.wantOneAnswer("may have run", Failed)
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -42,6 +42,10 @@
 	pendingRejection          Answer   // the rejection held back in state requestRejectionPending
 }
 
+// isClaim reports whether the request asks for the outcome of an order that its client has sent to another router. Only a request whose
+// retry may do harm is claimed.
+func (r *request) isClaim() bool { return r.ResumesTxn != "" && r.policy.nonIdempotent() }
+
 // retryIsHarmless reports whether the client may be told that a retry does no harm, given the attempts sent so far.
 func (r *request) retryIsHarmless() bool { return !r.policy.nonIdempotent() || !r.mayHaveRun }
 
@@ -127,44 +131,67 @@
 func (c *Core) Submit(id balancer.RequestID, q Request) {
 	arrived := cmp.Or(min(q.ArrivedAt, c.iteration.now), c.iteration.now)
 	clientDeadline := arrived + min(q.Timeout, c.limits.LongestDeadline)
-	deadline := clientDeadline - c.limits.AnswerMargin
-	if c.lifecycle.shuttingDown() { // a request that is open when the process ends would be lost
-		deadline = min(deadline, c.lifecycle.shutdownDeadline(&c.limits))
-	}
-	switch {
-	case len(c.requests.open) >= c.limits.OpenRequests:
-		c.rejectNew(&q, RefusedTooManyOpen, c.rejection())
-		return
-	case c.lifecycle.state == stateClosed || c.DrainStage() >= RejectNew:
-		c.rejectNew(&q, RefusedDraining, c.rejection())
-		return
-	case deadline <= c.iteration.now:
-		c.rejectNew(&q, RefusedNoTime, Answer{Verdict: Rejected})
-		return
-	case c.requests.byTxn[q.Txn] != nil: // page caches could not tell the two requests apart
-		c.rejectNew(&q, RefusedDuplicate, Answer{Verdict: Failed, Reason: ReasonBadRequest})
-		return
-	case c.policy.classes[q.Class].nonIdempotent() && c.requests.mayHaveRun.Contains(q.Txn):
-		c.rejectNew(&q, RefusedDuplicate, failedAnswer)
-		return
-	}
 	r := &request{
 		Request:        q,
 		id:             id,
 		policy:         c.policy.classes[q.Class],
 		acceptedAt:     c.iteration.now,
-		deadline:       deadline,
 		clientDeadline: clientDeadline,
 	}
+	r.deadline = c.answerDeadline(r)
+	if reason, a, refused := c.checkNew(r); refused {
+		c.rejectNew(&q, reason, a)
+		return
+	}
 	c.traceRequest(r)
 	c.addRequest(r)
-	if q.ResumesTxn != "" && r.policy.nonIdempotent() {
+	if r.isClaim() {
 		c.claimOrder(r)
 		return
 	}
 	c.startRequest(r)
 }
 
+// answerDeadline returns when a new request must be answered.
+func (c *Core) answerDeadline(r *request) time.Duration {
+	deadline := r.clientDeadline - c.limits.AnswerMargin
+	switch {
+	case c.lifecycle.shuttingDown(): // a request that is open when the process ends would be lost
+		return min(deadline, c.lifecycle.shutdownDeadline(&c.limits))
+	case r.isClaim() && c.lifecycle.state == stateStandby && c.refusesNew(): // the connections have to end
+		return min(deadline, c.lifecycle.drainingSince+c.limits.DrainCloseAll)
+	}
+	return deadline
+}
+
+// refusesNew reports whether the router has drained or ended so far that it takes no new requests.
+func (c *Core) refusesNew() bool {
+	return c.lifecycle.state == stateClosed || c.DrainStage() >= RejectNew
+}
+
+// checkNew returns why a new request is not taken, and the answer to it, if it is refused. A claim is taken while the router is drained,
+// as its order need not run here, and is never rejected: its order may have run.
+func (c *Core) checkNew(r *request) (reason RefusalReason, a Answer, refused bool) {
+	rejection := c.rejection()
+	if r.isClaim() {
+		rejection = failedAnswer
+	}
+	switch {
+	case c.requests.byTxn[r.Txn] != nil: // page caches could not tell the two requests apart
+		return RefusedDuplicate, Answer{Verdict: Failed, Reason: ReasonBadRequest}, true
+	case r.policy.nonIdempotent() && c.requests.mayHaveRun.Contains(r.Txn):
+		return RefusedDuplicate, failedAnswer, true
+	case len(c.requests.open) >= c.limits.OpenRequests:
+		return RefusedTooManyOpen, rejection, true
+	case c.lifecycle.state == stateClosed, c.refusesNew() && !r.isClaim():
+		return RefusedDraining, rejection, true
+	case r.deadline <= c.iteration.now:
+		rejection.RetryAfter = 0
+		return RefusedNoTime, rejection, true
+	}
+	return 0, Answer{}, false
+}
+
 // addRequest adds a request to the open ones, until its deadline.
 func (c *Core) addRequest(r *request) {
 	c.requests.add(r)
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -149,16 +149,26 @@
 
 // refuse refuses a message without the core: no answer of it is worth the work.
 func (c *conn) refuse(m rpc.Message, reason core.RefusalReason) error {
-	if err := c.refusals.add(m.ID); err != nil {
+	verdict, code := c.server.refusal(string(m.Method), len(m.Fields.ResumedTxn) > 0)
+	if err := c.refusals.add(m.ID, code); err != nil {
 		c.transport.CloseAfterReplies(netio.CloseTooManyRefusals)
 		return err
 	}
 	c.transport.AddPendingReplies(1)
 	c.server.core.CountRefusal(reason)
-	c.server.core.CountAnswer(string(m.Method), core.Rejected)
+	c.server.core.CountAnswer(string(m.Method), verdict)
 	return nil
 }
 
+// refusal returns the answer to a request that is not taken. It is rejected, but a claim fails: its order may have run at the router that
+// the client has lost.
+func (s *Server) refusal(class string, resumes bool) (verdict core.Verdict, code string) {
+	if resumes && s.classes[class].Idempotency != balancer.Idempotent {
+		return core.Failed, codeFailed
+	}
+	return core.Rejected, rpc.CodeThrottled
+}
+
 // answerHealth answers a health check.
 func (c *conn) answerHealth(t ticket) {
 	c.admission.release(t)
@@ -179,7 +189,7 @@
 	case code != "":
 		c.rejectMalformed(t, request.Class, code)
 	case len(c.openRequests) >= c.server.limits.OpenPerConn:
-		c.reject(t, request.Class, core.RefusedTooManyOnConnection)
+		c.reject(t, &request, core.RefusedTooManyOnConnection)
 	default:
 		id := c.server.core.NewID()
 		c.openRequests[t.messageID] = openRequest{id, t}
@@ -192,12 +202,13 @@
 	}
 }
 
-// reject answers a request that is not taken, and that may be sent again.
-func (c *conn) reject(t ticket, class string, reason core.RefusalReason) {
+// reject answers a request that is not taken.
+func (c *conn) reject(t ticket, request *core.Request, reason core.RefusalReason) {
+	verdict, code := c.server.refusal(request.Class, request.ResumesTxn != "")
 	c.admission.release(t)
 	c.server.core.CountRefusal(reason)
-	c.server.core.CountAnswer(class, core.Rejected)
-	_ = c.send(rpc.AppendErrorResponse(nil, t.messageID, rpc.CodeThrottled)) // send logs errors
+	c.server.core.CountAnswer(request.Class, verdict)
+	_ = c.send(rpc.AppendErrorResponse(nil, t.messageID, code)) // send logs errors
 }
 
 // rejectMalformed answers an invalid request with an error code. It closes the connection of a client that has sent too
--- a/internal/frontend/msgpackrpc/refusals.go
+++ b/internal/frontend/msgpackrpc/refusals.go
@@ -26,8 +26,11 @@
 // errTooManyRefusals is returned when no refusal can be remembered any more.
 var errTooManyRefusals = errors.New("too many refusals wait to be sent")
 
-// idRange is a range of message ids, both ends included.
-type idRange struct{ first, last uint64 }
+// idRange is a range of message ids, both ends included, whose requests are refused with the same error code.
+type idRange struct {
+	first, last uint64
+	code        string
+}
 
 // refusals holds the message ids of requests that were refused as they were read, and whose refusals were not sent yet because
 // the client reads too slowly. Its methods may be called from any goroutine.
@@ -36,18 +39,18 @@
 	ranges []idRange // in the order in which they are sent
 }
 
-// add adds a message id.
-func (r *refusals) add(messageID uint64) error {
+// add adds a message id, whose request is refused with an error code.
+func (r *refusals) add(messageID uint64, code string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n := len(r.ranges); n > 0 && r.ranges[n-1].last+1 == messageID {
+	if n := len(r.ranges); n > 0 && r.ranges[n-1].last+1 == messageID && r.ranges[n-1].code == code {
 		r.ranges[n-1].last = messageID
 		return nil
 	}
 	if len(r.ranges) >= maxRefusalRanges {
 		return errTooManyRefusals
 	}
-	r.ranges = append(r.ranges, idRange{messageID, messageID})
+	r.ranges = append(r.ranges, idRange{messageID, messageID, code})
 	return nil
 }
 
@@ -64,7 +67,7 @@
 	defer r.mu.Unlock()
 	for len(r.ranges) > 0 {
 		ids := &r.ranges[0]
-		next := rpc.AppendErrorResponse(encoded, ids.first, rpc.CodeThrottled)
+		next := rpc.AppendErrorResponse(encoded, ids.first, ids.code)
 		if len(next) > refusalBatchBytes {
 			return encoded, count
 		}
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -64,7 +64,11 @@
 	fake.phase.Store(int64(core.Serving))
 	limits := config.Limits{ClientConns: 10, OpenPerConn: 2, OpenRequests: 100, MessageBytes: 1 << 16, BodyBytes: 1 << 10, BadRequests: 2,
 		Client: config.ConnLimits{MaxPendingBytes: 1 << 20, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, SilentTimeout: 10 * time.Second}}
-	server, err := Listen("127.0.0.1:0", 0, fake, limits, []balancer.Class{{Name: "page", Deadline: 3 * time.Second}}, netio.NewBudget(1<<22))
+	classes := []balancer.Class{
+		{Name: "page", Deadline: 3 * time.Second, Idempotency: balancer.Idempotent},
+		{Name: "order", Deadline: 3 * time.Second},
+	}
+	server, err := Listen("127.0.0.1:0", 0, fake, limits, classes, netio.NewBudget(1<<22))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,6 +184,46 @@
 	}
 }
 
+// A claim that a connection or the server has no room for fails: a rejection would say that its order never ran. Other requests are
+// rejected, also a claim of what may be repeated.
+func TestClaimWithoutRoomFails(t *testing.T) {
+	const claimed = 0x11
+	for name, prepare := range map[string]func(*Server, *client) (taken int){
+		"of the connection, in the core": func(s *Server, c *client) int {
+			for id := 1; id <= s.limits.OpenPerConn; id++ {
+				c.call(id, "page")
+			}
+			return s.limits.OpenPerConn
+		},
+		"of the server, as it is read": func(s *Server, _ *client) int {
+			s.admission.requests.Add(admissionFactor * s.admission.openRequests)
+			return 0
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, server, dial := startServer(t)
+			c := dial()
+			id := int64(prepare(server, c))
+			for _, request := range []struct {
+				class   string
+				resumes uint64
+				want    string
+			}{
+				{"order", claimed, "Failed"}, {"page", claimed, "Throttled"}, {"order", 0, "Throttled"}, {"order", claimed, "Failed"},
+			} {
+				id++
+				b := rpc.AppendRequest(nil, uint64(id), &rpc.Request{Method: request.class, Txn: uint64(id), TimeoutMillis: 1000, ResumedTxn: request.resumes})
+				if _, err := c.nc.Write(b); err != nil {
+					t.Fatal(err)
+				}
+				if code, _, _ := c.readResponse(id); code != request.want {
+					t.Errorf("%s that resumes %x: %q, want %q", request.class, request.resumes, code, request.want)
+				}
+			}
+		})
+	}
+}
+
 // A malformed message closes its own connection only.
 func TestMalformedMessageClosesItsConnection(t *testing.T) {
 	fake, dial := start(t)
@@ -445,7 +489,7 @@
 func TestRefusalsAreBounded(t *testing.T) {
 	var r refusals
 	for id := uint64(1); id <= 1_000_000; id++ {
-		if err := r.add(id); err != nil {
+		if err := r.add(id, rpc.CodeThrottled); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -462,7 +506,7 @@
 		t.Errorf("%d refusals returned, want 1000000", total)
 	}
 	added := 0
-	for id := uint64(0); r.add(id) == nil; id += 2 {
+	for id := uint64(0); r.add(id, rpc.CodeThrottled) == nil; id += 2 {
 		added++
 	}
 	if added != maxRefusalRanges {
@@ -470,6 +514,21 @@
 	}
 }
 
+// Refusals that wait together keep each its own error code.
+func TestRefusalsKeepTheirCodes(t *testing.T) {
+	var r refusals
+	var want []byte
+	for i, code := range []string{rpc.CodeThrottled, codeFailed, codeFailed, rpc.CodeThrottled} {
+		if err := r.add(uint64(i), code); err != nil {
+			t.Fatal(err)
+		}
+		want = rpc.AppendErrorResponse(want, uint64(i), code)
+	}
+	if got, count := r.take(); count != 4 || string(got) != string(want) {
+		t.Errorf("%d refusals, %q; want 4, %q", count, got, want)
+	}
+}
+
 // Once most of the open requests are in use, a connection with many requests gets no more, and one with few still does.
 func TestConnectionsWithFewRequestsAreAdmittedUnderLoad(t *testing.T) {
 	server := &serverAdmission{openRequests: 100, budget: netio.NewBudget(1 << 20)}
