credit: a new ledger counts top-ups only once the whole cluster knows it

Cause: a new ledger asks the other routers among whom top-ups are split; for a single one that is nobody, and it was confirmed at once. Change: a router that a top-up names asks the whole cluster, and counts nothing before as many routers as 'size' says have confirmed; a router that asks with another ledger is asked again. Why it works: the routers that are in no 'among' remember the lost ledger, and one that survives is enough.

--- a/cmd/hillknot/cluster.go
+++ b/cmd/hillknot/cluster.go
@@ -98,6 +98,7 @@
 func openPrepaidCredit(cfg *config.Config, c *core.Core, m *membership.Agent) (*prepaidcredit.Extension, error) {
 	block := cfg.Cluster.Credit
 	settings := credit.Defaults(cfg.Name, cfg.Cluster.State.Process, "")
+	settings.ClusterSize = cfg.Cluster.State.ClusterSize
 	settings.PacingHorizon = block.PacingHorizon
 	settings.WithdrawalWindow = block.WithdrawalWindow
 	settings.MaxResponseBytes = cfg.Limits.ObjectBytes
--- a/internal/credit/identity.go
+++ b/internal/credit/identity.go
@@ -33,6 +33,9 @@
 	record       identityRecord
 	confirmedBy  map[string]bool   // routers that have confirmed the identity to this process
 	knownLedgers map[string]string // ledger IDs of other routers, by router name
+	// askedBy holds the latest ledger that asked this process, by router name: a router that has lost its disk has forgotten whom it
+	// confirmed, and has to be asked again.
+	askedBy map[string]string
 }
 
 func newIdentity(settings Settings) identity {
@@ -40,6 +43,7 @@
 		record:       identityRecord{LedgerID: settings.LedgerID, Router: settings.Router},
 		confirmedBy:  map[string]bool{},
 		knownLedgers: map[string]string{},
+		askedBy:      map[string]string{},
 	}
 }
 
@@ -76,17 +80,42 @@
 	i.state, i.err = identityStale, StaleLedgerError{peer}
 }
 
+// noteAsked records that a ledger of another router has asked. If it asks for the first time, its router is asked again, too.
+func (i *identity) noteAsked(router, ledgerID string) {
+	previous, known := i.askedBy[router]
+	if previous == ledgerID || !known && len(i.askedBy) >= maxPeers {
+		return
+	}
+	i.askedBy[router] = ledgerID
+	delete(i.confirmedBy, router)
+}
+
 // IdentityError returns a NameTakenError if this router applies no top-ups because of a conflict, a StaleLedgerError if
 // it spends nothing, and nil otherwise.
 func (l *Ledger) IdentityError() error { return l.identity.err }
 
 // confirmIdentity asks all other routers among which top-ups are divided whether they know a different ledger under this
-// router's name, until each has replied that it does not. Only then is it certain that no other ledger has received this
-// router's portions. A confirmed ledger also asks each router after each start, until it has confirmed, to learn whether
-// the ledger is stale.
+// router's name, until each has replied that it does not. If a top-up names this router, it asks the whole cluster, until as many routers as
+// there are have replied: there may be no other router among which top-ups are divided, or none that still knows. Only then is
+// it certain that no other ledger has received this router's portions. A confirmed ledger also asks each router after each start, until it
+// has confirmed, so that the router knows this ledger, and to learn whether the ledger is stale.
 func (l *Ledger) confirmIdentity(now time.Duration) {
-	confirmedByAll := true
-	for _, router := range l.topUps.routers(l.settings.Router) {
+	confirmed := l.requestIdentities(now, l.topUps.routers(l.settings.Router))
+	if l.topUps.names(l.settings.Router) {
+		l.requestIdentities(now, l.peers.alive)
+		confirmed = confirmed && len(l.identity.confirmedBy) >= l.settings.ClusterSize-1
+	}
+	if confirmed && len(l.topUps.listed) > 0 && l.identity.state == identityUnconfirmed {
+		l.identity.markConfirmed()
+		l.writes.markChanged(func(time.Duration) { l.applyListedTopUps() }, kindIdentity)
+	}
+}
+
+// requestIdentities asks those of the routers that have not confirmed the identity, unless they are being asked. It reports whether all
+// have confirmed it.
+func (l *Ledger) requestIdentities(now time.Duration, routers []string) (confirmedByAll bool) {
+	confirmedByAll = true
+	for _, router := range routers {
 		if l.identity.confirmedBy[router] {
 			continue
 		}
@@ -95,10 +124,7 @@
 			l.requestIdentity(now, router)
 		}
 	}
-	if confirmedByAll && len(l.topUps.listed) > 0 && l.identity.state == identityUnconfirmed {
-		l.identity.markConfirmed()
-		l.writes.markChanged(func(time.Duration) { l.applyListedTopUps() }, kindIdentity)
-	}
+	return confirmedByAll
 }
 
 func (l *Ledger) awaitsIdentityReply(router string) bool {
@@ -138,6 +164,7 @@
 // it is stale if this router has received later transfers from it than it has on record. The first ledger that asks under
 // a name is accepted, once its ID is durable.
 func (l *Ledger) receiveIdentityRequest(delivery messaging.Delivery, m message) {
+	l.identity.noteAsked(delivery.From, m.LedgerID)
 	known := l.identity.knownLedgers[delivery.From]
 	switch {
 	case known != "" && known != m.LedgerID:
--- a/internal/credit/ledger_test.go
+++ b/internal/credit/ledger_test.go
@@ -175,3 +175,41 @@
 	}
 	c.checkViolations(t)
 }
+
+// A top-up goes to one router, and all routers lose their disks, one after the other. Those that remember that router's ledger are asked by
+// it again after their loss, so it is known to them as the last disk is lost, and the top-up does not count again.
+func TestDisksLostOneAfterTheOther(t *testing.T) {
+	c := newCluster(1, 3)
+	lone := c.routers[0]
+	c.fund(TopUp{ID: "first", Account: "a", Amount: 9_000_000, Routers: []string{lone.name}}, c.routers...)
+	c.advance(3 * time.Second)
+	if portion := lone.ledger.topUps.applied["first"].Portion; portion != 9_000_000 {
+		t.Fatalf("%d counted before the loss", portion)
+	}
+	for _, r := range []*router{c.routers[1], c.routers[2], lone} {
+		c.kill(r)
+		c.replaceDisk(r)
+		c.start(r)
+		c.advance(4 * time.Second)
+	}
+	if err := lone.ledger.IdentityError(); !errors.As(err, new(NameTakenError)) || lone.ledger.topUps.applied["first"].Portion != 0 {
+		t.Errorf("identity error of the new ledger: %v, top-up counted: %v", err, lone.ledger.topUps.applied["first"])
+	}
+}
+
+// The first ledger of a router waits until the whole cluster knows it, although a top-up goes to that router alone.
+func TestSingleFundedRouterWaitsForTheCluster(t *testing.T) {
+	c := newCluster(1, 3)
+	lone, last := c.routers[0], c.routers[2]
+	c.kill(last)
+	c.fund(TopUp{ID: "first", Account: "a", Amount: 9_000_000, Routers: []string{lone.name}}, c.routers...)
+	c.advance(5 * time.Second)
+	if _, counted := lone.ledger.topUps.applied["first"]; counted {
+		t.Error("a top-up counts before all other routers know the ledger")
+	}
+	c.start(last)
+	c.advance(5 * time.Second)
+	if portion := lone.ledger.topUps.applied["first"].Portion; portion != 9_000_000 {
+		t.Errorf("%d counted once all know the ledger", portion)
+	}
+}
--- a/internal/credit/settings.go
+++ b/internal/credit/settings.go
@@ -20,6 +20,7 @@
 	Router           string           // the name of this router
 	Incarnation      uint64           // of this process; above 0, and different for each process of a router
 	LedgerID         string           // identifies the ledger; chosen at random when its file was created
+	ClusterSize      int              // number of routers in the cluster, including this one
 	Prices           map[string]Price // by class of request; a class without a price is free
 	PacingHorizon    time.Duration    // an account that would be used up sooner is paced to last for this long
 	WithdrawalWindow time.Duration    // a withdrawal covers the spending of this time
@@ -34,6 +35,7 @@
 		Router:           router,
 		Incarnation:      incarnation,
 		LedgerID:         ledgerID,
+		ClusterSize:      1,
 		PacingHorizon:    30 * time.Second,
 		WithdrawalWindow: time.Second,
 		TickInterval:     200 * time.Millisecond,
@@ -63,8 +65,17 @@
 			return fmt.Errorf("setting %s is %v, want %v to %v", d.name, d.value, d.low, d.high)
 		}
 	}
-	if s.MaxAccounts < 1 || s.MaxAccounts > 1<<20 {
-		return fmt.Errorf("setting MaxAccounts is %d, want 1 to 1048576", s.MaxAccounts)
+	counts := []struct {
+		name        string
+		value, high int
+	}{
+		{"ClusterSize", s.ClusterSize, maxPeers},
+		{"MaxAccounts", s.MaxAccounts, 1 << 20},
+	}
+	for _, c := range counts {
+		if c.value < 1 || c.value > c.high {
+			return fmt.Errorf("setting %s is %d, want 1 to %d", c.name, c.value, c.high)
+		}
 	}
 	for class, price := range s.Prices {
 		if !price.valid() {
--- a/internal/credit/simulation_test.go
+++ b/internal/credit/simulation_test.go
@@ -40,6 +40,8 @@
 	lost       map[string]int64 // by account: rights in the memory of killed processes and on lost disks
 	served     int              // requests charged at all routers
 	violations []string
+
+	fundedRouters []string // among which top-ups are divided; nil: all
 }
 
 // router simulates a router whose process and disk can fail.
@@ -130,7 +132,7 @@
 	r.incarnation, r.down, r.pausedUntil, r.writing, r.openRequests = c.lastID, false, 0, nil, nil
 	r.clockOffset = time.Duration(c.random.Int64N(int64(time.Hour))) // may be lower than in the earlier process
 	settings := Defaults(r.name, r.incarnation, r.ledgerID)
-	settings.Prices, settings.MaxResponseBytes = c.prices, 20_000
+	settings.Prices, settings.MaxResponseBytes, settings.ClusterSize = c.prices, 20_000, len(c.routers)
 	var records []Record
 	for _, key := range slices.Sorted(maps.Keys(r.disk)) {
 		records = append(records, Record{key, r.disk[key]})
@@ -159,6 +161,9 @@
 }
 
 func (c *cluster) routerNames() (names []string) {
+	if c.fundedRouters != nil {
+		return c.fundedRouters
+	}
 	for _, r := range c.routers {
 		names = append(names, r.name)
 	}
@@ -464,11 +469,20 @@
 // The routers never charge more than was funded, despite kills during writes, full and lost disks, partitions of all
 // shapes, lost, late and repeated packets, and top-ups that only some routers read, or that are read late or twice. No
 // rights appear from nothing, and rights in the memory of a killed process do not reappear.
-func TestNeverOverspent(t *testing.T) {
+func TestNeverOverspent(t *testing.T) { checkNeverOverspent(t, nil) }
+
+// The same, with top-ups that go to a single router, which loses its disk: it once counted them again, as it asked only the others among
+// which they are divided, and there were none (review, case 8).
+func TestNeverOverspentWithSingleFundedRouter(t *testing.T) { checkNeverOverspent(t, []string{"r2"}) }
+
+// checkNeverOverspent simulates the clusters of all seeds. The top-ups are divided among the given routers; nil: all.
+func checkNeverOverspent(t *testing.T, fundedRouters []string) {
+	t.Helper()
 	var mu sync.Mutex
 	served, lost, funded := 0, int64(0), int64(0)
 	simulation.ForEachSeed(*seeds, func(seed uint64) {
 		c := newCluster(seed, 3+int(seed%5))
+		c.fundedRouters = fundedRouters
 		c.runRandomFaults(seed%2 == 1)
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/credit/topup.go
+++ b/internal/credit/topup.go
@@ -103,6 +103,11 @@
 	return names
 }
 
+// names reports whether a listed top-up is divided among routers of which one has the given name.
+func (r *topUpRegistry) names(router string) bool {
+	return slices.ContainsFunc(r.listed, func(t TopUp) bool { return slices.Contains(t.Routers, router) })
+}
+
 // ApplyTopUps applies the complete list of top-ups, or applies none of it and returns a TopUpRejectedError. A top-up that
 // was applied before is not applied again. Until the identity of the ledger is confirmed, no portion is added.
 func (l *Ledger) ApplyTopUps(list []TopUp) error {
