handover: a process that does not answer its successor is a predecessor all the same

Cause: FindPredecessor took 0.5 s without an answer for no predecessor and closed the connection, so READY was never heard. Evidence: 'predecessor handshake failed' in the new process, 'successor changed present=true' and 'false' in one millisecond in the old one. Change: the connection stays open, READY follows TAKE, and until it is answered or the connection ends, the new process has half of the limits and spends nothing of the shared budgets; then it recovers as after a start. Why it works: whoever holds the socket is there; one that goes on reads READY first, and one that has ended closes the connection.

--- a/cmd/hillknot/hotrestart.go
+++ b/cmd/hillknot/hotrestart.go
@@ -50,6 +50,7 @@
 	state, err := p.AnnounceReady()
 	if err != nil {
 		log.Warn("hot restart without state", logging.KeyError, err)
+		r.core.Post(func() { r.core.SetPredecessorUnheard(true) })
 		return true
 	}
 	imported := make(chan struct{})
@@ -91,9 +92,16 @@
 	}
 }
 
-// waitForPredecessor waits until the predecessor has ended and then gives this process all of the router's limits. It
-// returns early if stop is closed.
+// waitForPredecessor waits until the predecessor has answered that it is replaced, and until it has ended. This process then gets what the
+// predecessor leaves: the shared budgets, and all of the router's limits. waitForPredecessor returns early if stop is closed.
 func (r *hotRestart) waitForPredecessor(p *handover.Predecessor, stop <-chan struct{}) {
+	select {
+	case <-p.Replaced():
+	case <-p.Ended():
+	case <-stop:
+		return
+	}
+	r.core.Post(func() { r.core.SetPredecessorUnheard(false) })
 	select {
 	case <-p.Ended():
 		log.Info("predecessor ended")
--- a/internal/cluster/state/state.go
+++ b/internal/cluster/state/state.go
@@ -116,8 +116,14 @@
 	s.budgetOwners = max(s.budgetOwners, owners)
 }
 
-// SetReplaced sets whether a successor of this process spends in its place. Leases that this process granted stay valid.
-func (s *State) SetReplaced(replaced bool) { s.replaced = replaced }
+// SetReplaced sets whether another process of this router spends in place of this one, which then spends nothing. When that ends, the other
+// process may just have lent shares, so this one recovers as after its start.
+func (s *State) SetReplaced(now time.Duration, replaced bool) {
+	if s.replaced && !replaced && s.startedAt > 0 {
+		s.startedAt = now
+	}
+	s.replaced = replaced
+}
 
 // ReceiveMessage processes a message of another router, or of an earlier process of this one. Invalid messages are
 // ignored.
--- a/internal/core/cluster.go
+++ b/internal/core/cluster.go
@@ -57,9 +57,10 @@
 }
 
 // JoinCluster begins to share state with the peers. It is called once, as soon as no predecessor of this process spends
-// from the budgets any more.
+// from the budgets any more, or SetPredecessorUnheard was called.
 func (c *Core) JoinCluster(s *ClusterState, peers Peers) {
 	c.extensions.cluster, s.core, s.peers = s, c, peers
+	c.updateReplaced()
 	if s.settings.Retries.Rate > 0 {
 		s.state.OpenBudget(c.iteration.now, retryBudget, s.settings.Retries, 0)
 	}
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -56,6 +56,8 @@
 	blockers       startBlocker
 	drainingSince  time.Duration // when draining began, on the core's clock; 0: not draining
 	successorReady bool          // a successor takes new connections
+
+	predecessorUnheard bool // a predecessor has not answered that it is replaced
 }
 
 func newLifecycle() lifecycle { return lifecycle{blockers: endpointsUnknown} }
@@ -155,8 +157,20 @@
 // shuts down, and spends nothing of the budgets that routers share.
 func (c *Core) SetSuccessorReady(ready bool) {
 	c.lifecycle.successorReady = ready
+	c.updateReplaced()
+}
+
+// SetPredecessorUnheard sets whether a predecessor of this process runs that has not answered that it is replaced. It may still spend of
+// the budgets that routers share, so this process spends nothing of them meanwhile.
+func (c *Core) SetPredecessorUnheard(unheard bool) {
+	c.lifecycle.predecessorUnheard = unheard
+	c.updateReplaced()
+}
+
+// updateReplaced tells the state that routers share whether another process of this router may spend of the budgets.
+func (c *Core) updateReplaced() {
 	if c.extensions.cluster != nil {
-		c.extensions.cluster.state.SetReplaced(ready)
+		c.extensions.cluster.state.SetReplaced(c.iteration.now, c.lifecycle.successorReady || c.lifecycle.predecessorUnheard)
 	}
 }
 
--- a/internal/core/lifecycle_test.go
+++ b/internal/core/lifecycle_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillknot/balancer"
+	"hillknot/internal/cluster/state"
 	"hillknot/internal/config"
 )
 
@@ -182,3 +183,24 @@
 		t.Errorf("after ReleaseStart: phase %v, want serving", p)
 	}
 }
+
+// A process spends nothing of the shared budgets while a predecessor runs that has not answered that it is replaced: both spent the shares
+// of their router when the predecessor had been stopped as its successor started (review, case 10).
+func TestNothingIsSpentBesideAnUnheardPredecessor(t *testing.T) {
+	h := newHarness(t)
+	s, err := NewClusterState(ClusterSettings{State: state.Defaults("r1", 11, 2), Retries: state.BudgetLimits{Rate: 100, Burst: 100}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.core.SetPredecessorUnheard(true)
+	h.core.JoinCluster(s, &recordingPeers{})
+	h.wait(5 * second)
+	if s.AdmitRetry(h.now) {
+		t.Error("a retry is admitted beside a predecessor that has not answered")
+	}
+	h.core.SetPredecessorUnheard(false)
+	h.wait(second)
+	if !s.AdmitRetry(h.now) {
+		t.Error("no retry is admitted once the predecessor has answered")
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -19,8 +19,12 @@
 
 var log = logging.For("handover")
 
-// ErrPredecessorUnavailable reports that the predecessor has ended, or has not answered in time.
-var ErrPredecessorUnavailable = errors.New("predecessor unavailable")
+var (
+	// ErrPredecessorUnavailable reports that the predecessor has ended.
+	ErrPredecessorUnavailable = errors.New("predecessor unavailable")
+	// errNoAnswer reports that the predecessor has not answered in time. It may still do so.
+	errNoAnswer = errors.New("no answer in time")
+)
 
 // Process is the running process that a successor takes over from. Its methods may be called from any goroutine.
 type Process interface {
--- a/internal/handover/predecessor.go
+++ b/internal/handover/predecessor.go
@@ -1,8 +1,10 @@
 package handover
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +16,7 @@
 // Predecessor is the successor's end of the connection to the process that it takes over from.
 type Predecessor struct {
 	// DiscoveryPosition is the position in the event log of discovery that the predecessor had reached when this
-	// process connected.
+	// process connected; 0: it has not answered.
 	DiscoveryPosition int64
 
 	conn      *netio.Conn
@@ -22,12 +24,14 @@
 	ended     chan struct{} // closed when the connection ends
 	positions chan []byte   // receives the answer to TAKE, once
 	states    chan []byte   // receives the answer to READY, once
+	replaced  chan struct{} // closed when the answer to READY has come
+	answered  sync.Once     // closes replaced
 
 	requestSent atomic.Pointer[func(id string)] // is called with the id of each request that the predecessor sends; nil: Follow was not called
 }
 
-// FindPredecessor connects to the process that listens on a path. It returns nil if there is no such process, or if it
-// does not answer in time; neither is an error. The caller closes the connection.
+// FindPredecessor connects to the process that listens on a path. It returns nil if there is no such process, which is no error. One that
+// does not answer in time may be stopped, and go on later: it is a predecessor all the same. The caller closes the connection.
 func FindPredecessor(path string, limits config.Limits) *Predecessor {
 	p := newPredecessor(limits)
 	budget := netio.NewBudget(2 * limits.HandoverStateBytes)
@@ -39,6 +43,10 @@
 	}
 	p.conn = conn
 	position, err := p.request(kindTake, p.positions)
+	if errors.Is(err, errNoAnswer) {
+		log.Warn("predecessor does not answer", logging.KeyError, err)
+		return p
+	}
 	if err == nil {
 		p.DiscoveryPosition, err = strconv.ParseInt(string(position), 10, 64)
 	}
@@ -52,12 +60,16 @@
 
 func newPredecessor(limits config.Limits) *Predecessor {
 	return &Predecessor{limits: limits, ended: make(chan struct{}),
-		positions: make(chan []byte, 1), states: make(chan []byte, 1)}
+		positions: make(chan []byte, 1), states: make(chan []byte, 1), replaced: make(chan struct{})}
 }
 
 // Ended returns a channel that is closed when the predecessor ends.
 func (p *Predecessor) Ended() <-chan struct{} { return p.ended }
 
+// Replaced returns a channel that is closed when the predecessor has answered AnnounceReady, also if that did not wait for the answer: from
+// then on it leaves to this process what only one of them may do.
+func (p *Predecessor) Replaced() <-chan struct{} { return p.replaced }
+
 // AnnounceReady notifies the predecessor that this process accepts clients from now on, and returns the state to start
 // from. The predecessor may have been notified even if AnnounceReady returns an error.
 func (p *Predecessor) AnnounceReady() (State, error) {
@@ -93,9 +105,10 @@
 	case body := <-answers:
 		return body, nil
 	case <-p.ended:
+		return nil, fmt.Errorf("%s: %w", kind, ErrPredecessorUnavailable)
 	case <-timer.C:
+		return nil, fmt.Errorf("%s: %w", kind, errNoAnswer)
 	}
-	return nil, fmt.Errorf("%s: %w", kind, ErrPredecessorUnavailable)
 }
 
 // Consume implements netio.Handler.
@@ -123,6 +136,7 @@
 		answers = p.positions
 	case kindState:
 		answers = p.states
+		p.answered.Do(func() { close(p.replaced) })
 	case kindSent:
 		requestSent := p.requestSent.Load()
 		if requestSent == nil {
