core: a refused request takes no memory again

It is checked on the stack and copied once it is taken. Answers are as they were.

Measured: TestRefusedRequestTakesNoMemory, one allocation a refusal before, none after.

--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -131,18 +131,20 @@
 func (c *Core) Submit(id balancer.RequestID, q Request) {
 	arrived := cmp.Or(min(q.ArrivedAt, c.iteration.now), c.iteration.now)
 	clientDeadline := arrived + min(q.Timeout, c.limits.LongestDeadline)
-	r := &request{
+	candidate := request{ // on the stack: a refused request takes no memory
 		Request:        q,
 		id:             id,
 		policy:         c.policy.classes[q.Class],
 		acceptedAt:     c.iteration.now,
 		clientDeadline: clientDeadline,
 	}
-	r.deadline = c.answerDeadline(r)
-	if reason, a, refused := c.checkNew(r); refused {
+	candidate.deadline = c.answerDeadline(&candidate)
+	if reason, a, refused := c.checkNew(&candidate); refused {
 		c.rejectNew(&q, reason, a)
 		return
 	}
+	r := new(request)
+	*r = candidate
 	c.traceRequest(r)
 	c.addRequest(r)
 	if r.isClaim() {
--- a/internal/core/requests_test.go
+++ b/internal/core/requests_test.go
@@ -151,3 +151,13 @@
 		t.Errorf("%d timers are left after 100 requests that have ended", got)
 	}
 }
+
+// A request that is refused takes no memory, however many come.
+func TestRefusedRequestTakesNoMemory(t *testing.T) {
+	h := newHarness(t)
+	h.core.limits.OpenRequests = 0
+	refused := Request{Txn: "7", Class: "page", Object: 7, Timeout: second, Reply: func(a Answer) Verdict { return a.Verdict }}
+	if allocations := testing.AllocsPerRun(100, func() { h.core.Submit(1, refused) }); allocations > 0 {
+		t.Errorf("%v allocations for a refused request, want none", allocations)
+	}
+}
