credit: each router is asked once who knows the ledger, whatever it replies

A reply is kept now, whatever it says, until its router asks with another ledger, which it is asked for before. What is decided is as it was.

--- a/internal/credit/identity.go
+++ b/internal/credit/identity.go
@@ -31,19 +31,19 @@
 	err   error // NameTakenError in identityConflict, StaleLedgerError in identityStale, else nil
 
 	record       identityRecord
-	confirmedBy  map[string]bool   // routers that have confirmed the identity to this process
+	replies      map[string]bool   // of other routers to this process, by name: whether it has confirmed the identity
 	knownLedgers map[string]string // ledger IDs of other routers, by router name
-	// askedBy holds the latest ledger that asked this process, by router name: a router that has lost its disk has forgotten whom it
-	// confirmed, and has to be asked again.
-	askedBy map[string]string
+	// requesters holds the latest ledger that has sent an identity request to this process, by router name: a router that has lost its
+	// disk has forgotten its reply, and has to be asked again.
+	requesters map[string]string
 }
 
 func newIdentity(settings Settings) identity {
 	return identity{
 		record:       identityRecord{LedgerID: settings.LedgerID, Router: settings.Router},
-		confirmedBy:  map[string]bool{},
+		replies:      map[string]bool{},
 		knownLedgers: map[string]string{},
-		askedBy:      map[string]string{},
+		requesters:   map[string]string{},
 	}
 }
 
@@ -80,14 +80,25 @@
 	i.state, i.err = identityStale, StaleLedgerError{peer}
 }
 
-// noteAsked records that a ledger of another router has asked. If it asks for the first time, its router is asked again, too.
-func (i *identity) noteAsked(router, ledgerID string) {
-	previous, known := i.askedBy[router]
-	if previous == ledgerID || !known && len(i.askedBy) >= maxPeers {
+// noteRequest records that a ledger of another router has sent an identity request. If it is its first, its router is asked again, too.
+func (i *identity) noteRequest(router, ledgerID string) {
+	previous, known := i.requesters[router]
+	if previous == ledgerID || !known && len(i.requesters) >= maxPeers {
 		return
 	}
-	i.askedBy[router] = ledgerID
-	delete(i.confirmedBy, router)
+	i.requesters[router] = ledgerID
+	delete(i.replies, router)
+}
+
+// confirmations returns how many routers have confirmed the identity to this process.
+func (i *identity) confirmations() int {
+	count := 0
+	for _, confirmed := range i.replies {
+		if confirmed {
+			count++
+		}
+	}
+	return count
 }
 
 // IdentityError returns a NameTakenError if this router applies no top-ups because of a conflict, a StaleLedgerError if
@@ -95,15 +106,15 @@
 func (l *Ledger) IdentityError() error { return l.identity.err }
 
 // confirmIdentity asks all other routers among which top-ups are divided whether they know a different ledger under this
-// router's name, until each has replied that it does not. If a top-up names this router, it asks the whole cluster, until as many routers as
+// router's name, and asks again until each has replied. If a top-up names this router, it asks the whole cluster, until as many routers as
 // there are have replied: there may be no other router among which top-ups are divided, or none that still knows. Only then is
 // it certain that no other ledger has received this router's portions. A confirmed ledger also asks each router after each start, until it
-// has confirmed, so that the router knows this ledger, and to learn whether the ledger is stale.
+// has replied, so that the router knows this ledger, and to learn whether the ledger is stale.
 func (l *Ledger) confirmIdentity(now time.Duration) {
 	confirmed := l.requestIdentities(now, l.topUps.routers(l.settings.Router))
 	if l.topUps.names(l.settings.Router) {
 		l.requestIdentities(now, l.peers.alive)
-		confirmed = confirmed && len(l.identity.confirmedBy) >= l.settings.ClusterSize-1
+		confirmed = confirmed && l.identity.confirmations() >= l.settings.ClusterSize-1
 	}
 	if confirmed && len(l.topUps.listed) > 0 && l.identity.state == identityUnconfirmed {
 		l.identity.markConfirmed()
@@ -111,16 +122,14 @@
 	}
 }
 
-// requestIdentities asks those of the routers that have not confirmed the identity, unless they are being asked. It reports whether all
-// have confirmed it.
+// requestIdentities asks those of the routers that have not replied, unless they are being asked. It reports whether all have confirmed the
+// identity.
 func (l *Ledger) requestIdentities(now time.Duration, routers []string) (confirmedByAll bool) {
 	confirmedByAll = true
 	for _, router := range routers {
-		if l.identity.confirmedBy[router] {
-			continue
-		}
-		confirmedByAll = false
-		if !l.awaitsIdentityReply(router) {
+		confirmed, replied := l.identity.replies[router]
+		confirmedByAll = confirmedByAll && confirmed
+		if !replied && !l.awaitsIdentityReply(router) {
 			l.requestIdentity(now, router)
 		}
 	}
@@ -150,9 +159,9 @@
 	if completion.Err != nil {
 		return
 	}
+	l.identity.replies[router] = string(completion.Reply) == ackAccepted
 	switch string(completion.Reply) {
 	case ackAccepted:
-		l.identity.confirmedBy[router] = true
 	case ackStale:
 		l.identity.markStale(router)
 	default:
@@ -164,7 +173,7 @@
 // it is stale if this router has received later transfers from it than it has on record. The first ledger that asks under
 // a name is accepted, once its ID is durable.
 func (l *Ledger) receiveIdentityRequest(delivery messaging.Delivery, m message) {
-	l.identity.noteAsked(delivery.From, m.LedgerID)
+	l.identity.noteRequest(delivery.From, m.LedgerID)
 	known := l.identity.knownLedgers[delivery.From]
 	switch {
 	case known != "" && known != m.LedgerID:
--- a/internal/credit/ledger_test.go
+++ b/internal/credit/ledger_test.go
@@ -213,3 +213,26 @@
 		t.Errorf("%d counted once all know the ledger", portion)
 	}
 }
+
+// A ledger whose name is taken asks each router once. It asked all of them at each tick, for as long as it lived.
+func TestRejectedLedgerAsksEachRouterOnce(t *testing.T) {
+	c := newCluster(1, 3)
+	c.fund(TopUp{ID: "first", Account: "a", Amount: 9_000_000, Routers: c.routerNames()}, c.routers...)
+	c.advance(3 * time.Second)
+	r := c.routers[2]
+	c.kill(r)
+	c.replaceDisk(r)
+	c.start(r)
+	c.advance(3 * time.Second)
+	if err := r.ledger.IdentityError(); !errors.As(err, new(NameTakenError)) {
+		t.Fatalf("identity error of a new ledger under a known name: %v", err)
+	}
+	for end := c.now + 2*time.Second; c.now < end; {
+		c.step()
+		for _, other := range c.routers[:2] {
+			if r.ledger.awaitsIdentityReply(other.name) {
+				t.Fatalf("%s is asked again", other.name)
+			}
+		}
+	}
+}
--- a/internal/credit/simulation_test.go
+++ b/internal/credit/simulation_test.go
@@ -41,7 +41,7 @@
 	served     int              // requests charged at all routers
 	violations []string
 
-	fundedRouters []string // among which top-ups are divided; nil: all
+	fundedRouters []string // among which top-ups are divided
 }
 
 // router simulates a router whose process and disk can fail.
@@ -161,9 +161,6 @@
 }
 
 func (c *cluster) routerNames() (names []string) {
-	if c.fundedRouters != nil {
-		return c.fundedRouters
-	}
 	for _, r := range c.routers {
 		names = append(names, r.name)
 	}
@@ -420,7 +417,7 @@
 			ID:      fmt.Sprint("first", i),
 			Account: fmt.Sprint("a", i),
 			Amount:  2_000_000 + c.random.Int64N(9_000_000),
-			Routers: c.routerNames(),
+			Routers: c.fundedRouters,
 		}, c.routers...)
 	}
 	for _, r := range c.routers {
@@ -462,27 +459,34 @@
 		ID:      fmt.Sprint("more", c.now),
 		Account: fmt.Sprint("a", c.random.IntN(3)),
 		Amount:  1 + c.random.Int64N(3_000_000),
-		Routers: c.routerNames(),
+		Routers: c.fundedRouters,
 	}, readers...)
 }
 
 // The routers never charge more than was funded, despite kills during writes, full and lost disks, partitions of all
 // shapes, lost, late and repeated packets, and top-ups that only some routers read, or that are read late or twice. No
 // rights appear from nothing, and rights in the memory of a killed process do not reappear.
-func TestNeverOverspent(t *testing.T) { checkNeverOverspent(t, nil) }
+func TestNeverOverspent(t *testing.T) { checkNeverOverspent(t, (*cluster).routerNames) }
 
 // The same, with top-ups that go to a single router, which loses its disk: it once counted them again, as it asked only the others among
 // which they are divided, and there were none (review, case 8).
-func TestNeverOverspentWithSingleFundedRouter(t *testing.T) { checkNeverOverspent(t, []string{"r2"}) }
+func TestNeverOverspentWithSingleFundedRouter(t *testing.T) {
+	checkNeverOverspent(t, func(*cluster) []string { return []string{"r2"} })
+}
+
+// The same, with top-ups that go to some routers, all of which lose their disks, while only routers outside remember their ledgers.
+func TestNeverOverspentWhenOnlyOutsidersRemember(t *testing.T) {
+	checkNeverOverspent(t, func(c *cluster) []string { return c.routerNames()[2:] }) // the first two keep their disks
+}
 
-// checkNeverOverspent simulates the clusters of all seeds. The top-ups are divided among the given routers; nil: all.
-func checkNeverOverspent(t *testing.T, fundedRouters []string) {
+// checkNeverOverspent simulates the clusters of all seeds. The top-ups are divided among the routers that fundedRouters returns.
+func checkNeverOverspent(t *testing.T, fundedRouters func(*cluster) []string) {
 	t.Helper()
 	var mu sync.Mutex
 	served, lost, funded := 0, int64(0), int64(0)
 	simulation.ForEachSeed(*seeds, func(seed uint64) {
 		c := newCluster(seed, 3+int(seed%5))
-		c.fundedRouters = fundedRouters
+		c.fundedRouters = fundedRouters(c)
 		c.runRandomFaults(seed%2 == 1)
 		mu.Lock()
 		defer mu.Unlock()
