--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -73,10 +73,6 @@
 // maxUnansweredBytes is how many bytes a call may receive until it counts as answered although they end no line of the stream.
 const maxUnansweredBytes = 16 << 10
 
-// pendingInputDelay is how long the watcher waits for bytes that have arrived but are not parsed yet: a process that was stopped finds
-// its timers due before it has read its sockets.
-const pendingInputDelay = 10 * time.Millisecond
-
 // startCall starts a call to an address. updated gets a value when its status changes.
 func (w *Watcher) startCall(address string, updated chan<- struct{}) *call {
 	ctx, cancel := context.WithTimeout(context.Background(), w.limits.DiscoveryCallTimeout)
@@ -199,7 +195,7 @@
 	isPending := c.hasPendingInput()
 	due := c.status().progressAt + silence
 	if isPending && now >= due && now < due+silence {
-		return now + pendingInputDelay
+		return now + netio.PendingInputDelay
 	}
 	return due
 }
--- a/internal/netio/read.go
+++ b/internal/netio/read.go
@@ -161,9 +161,9 @@
 	c.input.timer.start(deadline, max(deadline-now, time.Millisecond), c.closeIncomplete)
 }
 
-// pendingInputDelay is how long a message that is out of time waits for bytes of it that have arrived and are not handled yet: a
-// process that was stopped finds its timers due before it has read its sockets.
-const pendingInputDelay = 10 * time.Millisecond
+// PendingInputDelay is how long a time-out that is due waits for bytes that have arrived and are not handled yet: a process that was
+// stopped finds its timers due before it has read its sockets.
+const PendingInputDelay = 10 * time.Millisecond
 
 // closeIncomplete closes the connection if the rest of its incomplete message has not arrived in time.
 func (c *Conn) closeIncomplete() {
@@ -175,7 +175,7 @@
 	case now < deadline:
 		c.input.timer.start(deadline, deadline-now, c.closeIncomplete)
 	case isPending && !c.isEnding():
-		c.input.timer.start(deadline, pendingInputDelay, c.closeIncomplete)
+		c.input.timer.start(deadline, PendingInputDelay, c.closeIncomplete)
 	default:
 		c.CloseAfterReplies(CloseInputEnded)
 	}
