--- a/loadtest/floodgossip.go
+++ b/loadtest/floodgossip.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -45,9 +43,3 @@
 
 // sharedHalfGossip is the message of all connections, as 300 copies would fill the memory of the load test itself.
 var sharedHalfGossip = sync.OnceValue(halfGossip)
-
-// sendHalfGossip sends half a message and waits until the router closes the connection.
-func sendHalfGossip(_ *floodRun, conn net.Conn) {
-	_, _ = conn.Write(sharedHalfGossip()) // the router may have closed the connection
-	_, _ = io.Copy(io.Discard, conn)
-}
--- a/loadtest/floodkinds.go
+++ b/loadtest/floodkinds.go
@@ -73,7 +73,7 @@
 	{name: "dns-new-names", mayLoseAnswers: true, start: startDatagrams(floodDNSPort, 8, newNameQuery)},
 	{name: "admin-new-paths", mayLoseAnswers: true, start: startConnsAt(adminPort, 32, newPaths)},
 
-	{name: "half-gossip", cluster: true, start: startConnsAt(clusterPort, 300, sendHalfGossip)},
+	{name: "half-gossip", cluster: true, start: startConnsAt(clusterPort, 300, thenWait(sharedHalfGossip))},
 	{name: "gossip-packets", cluster: true, start: startDatagrams(clusterPort, 4, undecryptablePacket)},
 
 	{name: "log-unread", log: unreadPipe, start: startMalformed(4), mayLoseAnswers: true},
--- a/loadtest/floodslow.go
+++ b/loadtest/floodslow.go
@@ -32,19 +32,23 @@
 	return nil
 }
 
-// thenWait returns a use of a connection that writes bytes, and then reads until the router closes it.
+// thenWait returns a use of a connection that writes bytes at once, and then reads until the router closes it.
 func thenWait(message func() []byte) func(*floodRun, net.Conn) {
-	return func(_ *floodRun, conn net.Conn) {
-		_, _ = conn.Write(message()) // the router may have closed the connection
-		_, _ = io.Copy(io.Discard, conn)
-		time.Sleep(slowPieceInterval) // leaves the processors to the steady client
-	}
+	return writeThenRead(message, func(conn net.Conn, b []byte) error {
+		_, err := conn.Write(b)
+		return err
+	})
 }
 
 // slowly returns a use of a connection that writes bytes slowly, and then reads until the router closes it.
 func slowly(message func() []byte) func(*floodRun, net.Conn) {
+	return writeThenRead(message, writeSlowly)
+}
+
+// writeThenRead returns a use of a connection that writes bytes with a function, and then reads until the router closes it.
+func writeThenRead(message func() []byte, write func(net.Conn, []byte) error) func(*floodRun, net.Conn) {
 	return func(_ *floodRun, conn net.Conn) {
-		if writeSlowly(conn, message()) == nil {
+		if write(conn, message()) == nil { // otherwise the router has closed the connection
 			_, _ = io.Copy(io.Discard, conn)
 		}
 		time.Sleep(slowPieceInterval) // leaves the processors to the steady client
