--- a/cmd/hillknot/claims_test.go
+++ b/cmd/hillknot/claims_test.go
@@ -27,9 +27,7 @@
 	inParallel(t)
 	const rejectsNewAfter = 2200 * time.Millisecond // on standby; 2 s and a reserve
 	r := newTestRouter(t, 2)
-	admin := listen(t)
-	address := admin.Addr().String()
-	admin.Close()
+	address := freeAddress(t)
 	r.startProcess("RELAY_OPS=" + address)
 	client := r.dial()
 	client.request(1, "order", map[string]string{"limit": "3000"}) // keeps the connection open
--- a/cmd/hillknot/harness_process_test.go
+++ b/cmd/hillknot/harness_process_test.go
@@ -130,9 +130,7 @@
 // startSuccessor starts another process of the router and waits until it serves. It returns when that was. The predecessor stays.
 func (r *testRouter) startSuccessor(environment ...string) (servingAt time.Time) {
 	r.t.Helper()
-	ops := listen(r.t)
-	address := ops.Addr().String()
-	ops.Close()
+	address := freeAddress(r.t)
 	successor := r.launchProcess(append(environment, "RELAY_OPS="+address)...)
 	for end := time.Now().Add(harnessTimeout); !isReady(address); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
--- a/cmd/hillknot/harness_test.go
+++ b/cmd/hillknot/harness_test.go
@@ -190,6 +190,14 @@
 	return ln
 }
 
+// freeAddress returns an address on loopback at which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener := listen(t)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 // inheritSocket makes the next router inherit a duplicate of the descriptor of a listener.
 func inheritSocket(t *testing.T, ln net.Listener) {
 	t.Helper()
--- a/cmd/hillknot/replaced_replica_test.go
+++ b/cmd/hillknot/replaced_replica_test.go
@@ -15,14 +15,6 @@
 // longestRequest is the longest deadline of a class of testConfig.
 const longestRequest = 3 * time.Second
 
-// freeAddress returns an address on loopback at which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener := listen(t)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // newFailoverPair returns two routers of a cluster, each of which keeps records of the orders of the other. They are not started yet.
 func newFailoverPair(t *testing.T) (owner, replica *testRouter) {
 	t.Helper()
--- a/cmd/hillknot/slow_discovery_test.go
+++ b/cmd/hillknot/slow_discovery_test.go
@@ -143,52 +143,74 @@
 	}
 }
 
-// The same, with a service that is slow when the router starts.
+// The same, with a service that is slow when the router starts, or that never answers the first call.
 func TestSlowDiscoveryIsHeardAfterTheStart(t *testing.T) {
-	for _, delay := range []time.Duration{2500 * time.Millisecond, 5 * time.Second} {
-		t.Run(delay.String(), func(t *testing.T) {
+	for name, service := range map[string]struct {
+		delay     time.Duration
+		dropCalls int
+		limit     time.Duration // from the start on
+	}{
+		"2.5s":                             {delay: 2500 * time.Millisecond, limit: 7 * time.Second},
+		"5s":                               {delay: 5 * time.Second, limit: 7 * time.Second},
+		"the first call is never answered": {dropCalls: 1, limit: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
 			inParallel(t)
 			r := newTestRouter(t, 2)
 			r.configure(30_000*millisecond, "settings", "specifics", "purgeTakesUs")
 			slow := listen(t)
 			r.configure(slow.Addr().String(), "journal")
-			s := r.newSlowDiscovery(slow, delay, 0)
+			s := r.newSlowDiscovery(slow, service.delay, service.dropCalls)
 			r.startProcess()
-			s.expectApplied(s.toldAt.Add(7 * time.Second))
+			s.expectApplied(s.toldAt.Add(service.limit))
 		})
 	}
 }
 
-// The same, with an open watch that falls silent, when the service answers the next calls late. Silence is still noticed after 2 s.
+// The same, with an open watch that falls silent, when the service answers the next calls late, or the first of them never. Silence is
+// still noticed after 2 s.
 func TestSlowDiscoveryIsHeardAfterASilentWatch(t *testing.T) {
-	inParallel(t)
-	r, _ := startForSlowDiscovery(t)
-	r.acceptWatch("1").write(": here\n\n") // and nothing more
-	silentSince := time.Now()
-	r.serveOne(r.dial(), servedObject, "page")
-	select {
-	case watch := <-r.watches:
-		watch.Close() // refused, so that the next calls reach the slow service
-		if silence := time.Since(silentSince); silence > 2500*time.Millisecond {
-			t.Errorf("a silent watch was noticed after %v, want 2 s", silence)
-		}
-	case <-time.After(harnessTimeout):
-		t.Fatal("the silent watch is not replaced")
-	}
-	s := &slowDiscovery{r: r, delay: 2500 * time.Millisecond, joined: r.newEndpoint("joined"), toldAt: time.Now()}
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		for {
+	for name, service := range map[string]slowDiscovery{
+		"2.5 s":                             {delay: 2500 * time.Millisecond},
+		"the next call never, others 1.5 s": {delay: 1500 * time.Millisecond, dropCalls: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inParallel(t)
+			r, _ := startForSlowDiscovery(t)
+			r.acceptWatch("1").write(": here\n\n") // and nothing more
+			silentSince := time.Now()
+			r.serveOne(r.dial(), servedObject, "page")
 			select {
 			case watch := <-r.watches:
+				watch.Close() // refused, so that the next calls reach the slow service
+				if silence := time.Since(silentSince); silence > 2500*time.Millisecond {
+					t.Errorf("a silent watch was noticed after %v, want 2 s", silence)
+				}
+			case <-time.After(harnessTimeout):
+				t.Fatal("the silent watch is not replaced")
+			}
+			s := &service
+			s.r, s.joined, s.toldAt = r, r.newEndpoint("joined"), time.Now()
+			stop := make(chan struct{})
+			defer close(stop)
+			go s.answerWatches(stop)
+			s.expectApplied(s.toldAt.Add(4 * time.Second))
+		})
+	}
+}
+
+// answerWatches answers the watches that the router opens at its own discovery service, until stop is closed.
+func (s *slowDiscovery) answerWatches(stop <-chan struct{}) {
+	for call := 1; ; call++ {
+		select {
+		case watch := <-s.r.watches:
+			if call > s.dropCalls {
 				time.AfterFunc(s.delay, func() { s.stream(watch) })
-			case <-stop:
-				return
 			}
+		case <-stop:
+			return
 		}
-	}()
-	s.expectApplied(s.toldAt.Add(4 * time.Second))
+	}
 }
 
 // A stop of the process for longer than a watch may be silent must not end the watch while bytes of the service wait to be read:
